Add a fault soak over real processes, and log what was dropped until the end

Lines of requests have a bound of their own now, and the count is written at the end too; the test of the writer failed before.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GOBIN_DIR := $(shell $(GO) env GOPATH)/bin
 PACKAGES := ./...
 
-.PHONY: all build test lint fmt demo fuzz bench generate tools
+.PHONY: all build test lint fmt demo fuzz bench generate tools soak
 
 all: build test demo
 
@@ -79,3 +79,14 @@
 	bin/damasklatch-bench page --page docs/MEASUREMENTS.md --plots docs/plots --notes $(BENCH_RESULTS)/notes.md \
 		$(foreach pkg,$(BENCH_TESTS),--tests $(call bench_log,$(pkg))) \
 		$(foreach name,lookup latency steer control build,$(BENCH_RESULTS)/$(name).json)
+
+# Plays random faults against real processes: SEED is the first seed, RUNS the number of seeds. Without SEED, a new one is drawn.
+ifndef SEED
+SEED := $(shell od -An -N3 -tu4 /dev/urandom | tr -d ' ')
+endif
+RUNS ?= 1
+SOAK_TIME ?= 20s
+SOAK_VMS ?= 4
+soak:
+	$(GO) test -count=1 -timeout 120m -v ./platform/soak -run 'TestSoak$$' \
+		-soak.seed=$(SEED) -soak.runs=$(RUNS) -soak.time=$(SOAK_TIME) -soak.vms=$(SOAK_VMS)
--- a/io/asynclog/writer.go
+++ b/io/asynclog/writer.go
@@ -11,7 +11,7 @@
 const (
 	// queued lines wait for the output.
 	queued = 1024
-	// LinesPerSecond bounds the volume of the log.
+	// LinesPerSecond bounds the lines of requests, and by itself the other lines.
 	LinesPerSecond = 200
 )
 
@@ -20,10 +20,23 @@
 	out     io.Writer
 	lines   chan []byte
 	dropped atomic.Int64
-	second  atomic.Int64
-	count   atomic.Int64
 	start   time.Time
 	done    chan struct{}
+
+	requests, others volume
+}
+
+// volume counts the lines of the present second.
+type volume struct {
+	second, count atomic.Int64
+}
+
+// take reports whether another line is within the bound.
+func (vl *volume) take(second int64) bool {
+	if have := vl.second.Load(); have != second && vl.second.CompareAndSwap(have, second) {
+		vl.count.Store(0)
+	}
+	return vl.count.Add(1) <= LinesPerSecond
 }
 
 // New returns a writer. Nothing is written before Run.
@@ -32,12 +45,17 @@
 }
 
 // Write queues a line, or drops it.
-func (wr *Writer) Write(line []byte) (int, error) {
-	second := int64(time.Since(wr.start) / time.Second)
-	if have := wr.second.Load(); have != second && wr.second.CompareAndSwap(have, second) {
-		wr.count.Store(0)
-	}
-	if wr.count.Add(1) > LinesPerSecond {
+func (wr *Writer) Write(line []byte) (int, error) { return wr.queue(line, &wr.others) }
+
+// Requests returns the output for lines of requests. However many there are, they displace no other line.
+func (wr *Writer) Requests() io.Writer { return requests{wr} }
+
+type requests struct{ wr *Writer }
+
+func (rq requests) Write(line []byte) (int, error) { return rq.wr.queue(line, &rq.wr.requests) }
+
+func (wr *Writer) queue(line []byte, vl *volume) (int, error) {
+	if !vl.take(int64(time.Since(wr.start) / time.Second)) {
 		wr.dropped.Add(1)
 		return len(line), nil
 	}
@@ -66,17 +84,24 @@
 		case line := <-wr.lines:
 			wr.write(line)
 		case <-tick.C:
-			if now := wr.dropped.Load(); now > reported {
-				wr.write(fmt.Appendf(nil, `{"level":"WARN","msg":"log lines were dropped","count":%d}`+"\n", now-reported))
-				reported = now
-			}
+			reported = wr.report(reported)
 		case <-ctx.Done():
 			wr.flush()
+			wr.report(reported)
 			return
 		}
 	}
 }
 
+// report writes how many lines were dropped since the last report, and returns the new total.
+func (wr *Writer) report(reported int64) int64 {
+	now := wr.dropped.Load()
+	if now > reported {
+		wr.write(fmt.Appendf(nil, `{"level":"WARN","msg":"log lines were dropped","count":%d}`+"\n", now-reported))
+	}
+	return now
+}
+
 // Wait returns when Run has written the last line.
 func (wr *Writer) Wait() { <-wr.done }
 
--- a/io/asynclog/writer_test.go
+++ b/io/asynclog/writer_test.go
@@ -37,3 +37,25 @@
 		}
 	})
 }
+
+// A flood of lines of requests must not displace the lines that tell what the process does, and what was dropped must be told
+// also by a process that ends.
+func TestRequestsDisplaceNoOtherLines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := new(bytes.Buffer)
+		wr := asynclog.New(out)
+		ctx, stop := context.WithCancel(context.Background())
+		go wr.Run(ctx)
+		for range 2 * asynclog.LinesPerSecond {
+			fmt.Fprintln(wr.Requests(), "request")
+		}
+		fmt.Fprintln(wr, "stopped")
+		stop()
+		wr.Wait()
+		for _, want := range []string{`"count":200`, "stopped"} {
+			if !strings.Contains(out.String(), want) {
+				t.Errorf("the output lacks %q", want)
+			}
+		}
+	})
+}
--- a/io/gateway/daemon.go
+++ b/io/gateway/daemon.go
@@ -51,16 +51,21 @@
 	lw := asynclog.New(out)
 	lv := new(slog.LevelVar)
 	lv.Set(gs.LogLevel)
-	log := slog.New(slog.NewJSONHandler(lw, &slog.HandlerOptions{Level: lv})).With("vm", string(gs.VM))
+	op := &slog.HandlerOptions{Level: lv}
+	log := slog.New(slog.NewJSONHandler(lw, op)).With("vm", string(gs.VM))
+	rl := requestLog{slog.New(slog.NewJSONHandler(lw.Requests(), op)).With("vm", string(gs.VM))}
 	slog.SetDefault(log) // net/http logs unexpected bytes of targets with the default logger
 	lctx, stopLog := context.WithCancel(context.WithoutCancel(ctx))
 	go lw.Run(lctx)
-	err = run(ctx, fx.Supply(gs, load, lv, log, lw), ad, gs.Grace)
+	err = run(ctx, fx.Supply(gs, load, lv, log, rl, lw), ad, gs.Grace)
 	stopLog()
 	lw.Wait()
 	return err
 }
 
+// requestLog takes the lines of requests, which are bounded by themselves.
+type requestLog struct{ *slog.Logger }
+
 func run(ctx context.Context, given fx.Option, ad Adapter, grace time.Duration) error {
 	app := fx.New(
 		given,
@@ -125,10 +130,11 @@
 }
 
 func newServer(gs *config.GatewaySettings, ad Adapter, ls *lease.Lease, lm *Limiter, pc *place.Placer,
-	bg *place.Budget, mt *metrics.Metrics, log *slog.Logger,
+	bg *place.Budget, mt *metrics.Metrics, log *slog.Logger, rl requestLog,
 ) *Server {
 	return NewServer(Options{
 		Region: gs.Region, Dialect: ad, Lease: ls, Limiter: lm, Placer: pc, Budget: bg, Metrics: NewMetrics(mt.Scope), Log: log,
+		RequestLog: rl.Logger,
 	})
 }
 
--- a/io/gateway/log.go
+++ b/io/gateway/log.go
@@ -18,7 +18,7 @@
 	if rs != "" || late || status >= 500 {
 		level = slog.LevelInfo
 	}
-	lg := rq.sv.op.Log
+	lg := rq.sv.op.RequestLog
 	if !lg.Enabled(context.Background(), level) {
 		return
 	}
--- a/io/gateway/server.go
+++ b/io/gateway/server.go
@@ -16,14 +16,15 @@
 
 // Options of a Server.
 type Options struct {
-	Region  id.Region
-	Dialect Dialect
-	Lease   *lease.Lease
-	Limiter *Limiter
-	Placer  *place.Placer
-	Budget  *place.Budget
-	Metrics *Metrics
-	Log     *slog.Logger
+	Region     id.Region
+	Dialect    Dialect
+	Lease      *lease.Lease
+	Limiter    *Limiter
+	Placer     *place.Placer
+	Budget     *place.Budget
+	Metrics    *Metrics
+	Log        *slog.Logger
+	RequestLog *slog.Logger // of the ends of requests
 }
 
 // Server serves requests. It is safe for concurrent use.
