Move the plan of regions at its usual rate when requests cease

A VM whose demand fell below half a busy slot counted as idle, so its plan took the wanted weights at once: up to 0.36 of its requests changed their region, while repeated requests still came. A plan counts as idle only after 10 s without demand; the test failed before.

--- a/core/place/health.go
+++ b/core/place/health.go
@@ -143,7 +143,7 @@
 			need = prior(capacity)
 		}
 		if len(capacity) > 0 {
-			pl.plan.follow(now, pl.demand < leastDemand, wanted(pc.op.Region, capacity, need), capacity)
+			pl.plan.follow(now, pl.demand >= leastDemand, wanted(pc.op.Region, capacity, need), capacity)
 		}
 	}
 }
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -183,6 +183,16 @@
 			pc.Plan(now, demand(8, 0))
 		}
 		before := south()
+		for range 20 {
+			was := south()
+			for range 8 {
+				now = now.Add(250 * time.Millisecond)
+				pc.Demand(now) // no more first requests, but repeated ones still come
+				pc.Plan(now, demand(0.6, 0))
+			}
+			So(was-south(), ShouldBeLessThan, 0.15)
+		}
+		before = south()
 		for range 20 {
 			now = now.Add(100 * time.Millisecond)
 			pc.Arrive(ask("x"))
--- a/core/place/plan.go
+++ b/core/place/plan.go
@@ -17,6 +17,8 @@
 	lossRate       = 0.2
 	lossTime       = 4 * time.Second
 	capacityChange = 0.08
+	// idleTime is the time without requests after which a plan may change at once.
+	idleTime = 10 * time.Second
 	// mostCredit bounds how far the requests of a VM may deviate from its plan, in requests.
 	mostCredit = 6.0
 )
@@ -28,6 +30,7 @@
 	at       time.Time
 	capacity map[id.Region]float64 // at the last change that counts
 	changed  time.Time
+	used     time.Time // when there was last demand; zero if there never was
 }
 
 // wanted computes the weights for the work of a home region from the capacity and the demand of each region, in slots.
@@ -71,9 +74,12 @@
 }
 
 // follow moves the weights towards those wanted, as fast as allowed. Regions without capacity lose their weight at once. A
-// plan that is idle, since there are no requests yet, takes the wanted weights.
-func (pn *plan) follow(now time.Time, idle bool, want, capacity map[id.Region]float64) {
-	if pn.weights == nil || idle {
+// plan without demand for some time takes the wanted weights.
+func (pn *plan) follow(now time.Time, demanded bool, want, capacity map[id.Region]float64) {
+	if demanded {
+		pn.used = now
+	}
+	if pn.weights == nil || now.Sub(pn.used) > idleTime {
 		pn.weights, pn.credit, pn.at, pn.capacity = want, map[id.Region]float64{}, now, capacity
 		return
 	}
