Followers ask the store themselves later, and a fleet that starts asks it less

The evidence of a reader is 1.8 to 2.4 s old, since a watch may be blind for 1.2 s, so evidence of followers often passed 2.7 s. They read from 3.3 s now (the lease lasts 4 s), each 500 ms as long as it stays old: a renewal that met the gap between two watches was lost before, and the next one came only after the evidence had been renewed otherwise.

--- a/io/asynclog/writer.go
+++ b/io/asynclog/writer.go
@@ -71,7 +71,7 @@
 func (wr *Writer) Dropped() int64 { return wr.dropped.Load() }
 
 // reportEvery is the period of the lines that tell how many lines were dropped.
-const reportEvery = 5 * time.Second
+const reportEvery = time.Second
 
 // Run writes the lines until the context ends, then those that are queued.
 func (wr *Writer) Run(ctx context.Context) {
--- a/io/gateway/control.go
+++ b/io/gateway/control.go
@@ -31,7 +31,9 @@
 	relayFor = 900 * time.Millisecond
 	longWait = 10 * time.Second
 	// ownEvidence is the age of the lease from which a VM asks the store itself.
-	ownEvidence = 2700 * time.Millisecond
+	ownEvidence = 3300 * time.Millisecond
+	// readAgain is the period in which it does so while the lease stays old.
+	readAgain = 500 * time.Millisecond
 	// watchBlind is the time for which a watch may miss changes before the store notices that its history is lost.
 	watchBlind = 1200 * time.Millisecond
 	// leaseMargin is the part of the time for revocations that the lease does not use.
@@ -41,6 +43,8 @@
 	returnTime = 2200 * time.Millisecond
 	// helloTime is the time within which other VMs are heard after the start.
 	helloTime = 600 * time.Millisecond
+	// sourceTime is the time after the start within which readers are known.
+	sourceTime = 800 * time.Millisecond
 	// lookupTTL is how long callers may keep the answer to a look-up.
 	lookupTTL = 1500 * time.Millisecond
 	// forgetVM is the time after which a silent VM is not sent statuses any more.
@@ -82,6 +86,7 @@
 	nextState time.Time
 	lastState time.Time
 	nextTell  time.Time
+	nextRead  time.Time     // of the configuration, while the lease is old
 	period    time.Duration // of statuses
 	lapses    int64         // of the lease, as last seen
 
@@ -130,6 +135,7 @@
 	}
 	ct.mirror = objects.NewMirror(ct.follows)
 	from := objects.NewRelayed(pt.Store, ct.relay, pt.Log)
+	from.Hold(now.Add(sourceTime))
 	ks := pt.Adapter.Kinds()
 	for _, kind := range []objects.Kind{ks.Config, ks.Targets, ks.Evacuations, ks.VMs} {
 		ct.quick[kind], ct.progress[kind] = new(atomic.Bool), &progress{}
--- a/io/gateway/follow.go
+++ b/io/gateway/follow.go
@@ -64,11 +64,12 @@
 	age, ok := ct.Lease.Age()
 	old := !ok || age > ownEvidence
 	config := ct.Adapter.Kinds().Config
-	if old && !ct.wantRead.Swap(old) && ct.listed[config] && !ct.reader.Load() {
+	ct.wantRead.Store(old)
+	if old && !now.Before(ct.nextRead) && ct.listed[config] && !ct.reader.Load() {
+		ct.nextRead = now.Add(readAgain)
 		ct.quick[config].Store(true)
 		ct.informers[config].Kick()
 	}
-	ct.wantRead.Store(old)
 }
 
 // setSource chooses the VM to follow: one that follows the store, in the own region if there is one.
--- a/io/gateway/registrar.go
+++ b/io/gateway/registrar.go
@@ -5,6 +5,8 @@
 	"log/slog"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"damasklatch/core/roster"
 	"damasklatch/io/objects"
 )
@@ -39,7 +41,7 @@
 }
 
 func (rg *registrar) run(ctx context.Context) {
-	for !rg.write(ctx) {
+	for !rg.create(ctx) && !rg.write(ctx) {
 		if !rg.wait(ctx, registerPause) {
 			return
 		}
@@ -65,6 +67,17 @@
 	rg.write(ctx)
 }
 
+// create writes the registration of a VM that has none, which is the usual case when a fleet starts.
+func (rg *registrar) create(ctx context.Context) bool {
+	wctx, cancel := context.WithTimeout(ctx, registerLimit)
+	defer cancel()
+	err := rg.store.Create(wctx, rg.registry.Kinds().VMs, string(rg.self.VM), rg.registry.PeerSpec(rg.self))
+	if err != nil && !errors.Is(err, objects.ErrConflict) {
+		rg.log.Warn("registration is not created", "error", err.Error())
+	}
+	return err == nil
+}
+
 func (rg *registrar) write(ctx context.Context) bool {
 	wctx, cancel := context.WithTimeout(ctx, registerLimit)
 	defer cancel()
--- a/io/objects/objects_test.go
+++ b/io/objects/objects_test.go
@@ -194,3 +194,19 @@
 		So(ls.Objects[0].Name, ShouldEqual, "from-store")
 	})
 }
+
+// VMs that start together must not all watch the store before they know which of them read it.
+func TestWatchWaitsForSource(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fs := &fakeStore{rev: 5}
+		asked := time.Now()
+		rl := objects.NewRelayed(fs, func() (string, bool) { return "", false }, slog.New(slog.DiscardHandler))
+		rl.Hold(asked.Add(time.Second))
+		if _, err := rl.Watch(t.Context(), "targets", 5, time.Second); err != nil {
+			t.Fatal(err)
+		}
+		if fs.watches != 1 || time.Since(asked) < 2*time.Second {
+			t.Errorf("the store was watched after %s", time.Since(asked)-time.Second)
+		}
+	})
+}
--- a/io/objects/relay.go
+++ b/io/objects/relay.go
@@ -67,6 +67,7 @@
 type Relayed struct {
 	store  Reader
 	source func() (address string, ok bool)
+	until  time.Time // until when watches wait for a source
 	http   *http.Client
 	log    *slog.Logger
 
@@ -83,6 +84,21 @@
 	}
 }
 
+// Hold lets watches wait for a source until a time. All VMs of a fleet that starts would else watch the store.
+func (rl *Relayed) Hold(until time.Time) { rl.until = until }
+
+// holdStep is the period in which a watch that waits looks for a source.
+const holdStep = 50 * time.Millisecond
+
+func (rl *Relayed) await(ctx context.Context) {
+	for time.Now().Before(rl.until) && ctx.Err() == nil {
+		if _, ok := rl.source(); ok {
+			return
+		}
+		sleep(ctx, holdStep)
+	}
+}
+
 // List implements Reader.
 func (rl *Relayed) List(ctx context.Context, kind Kind) (Listing, error) {
 	var ls Listing
@@ -94,6 +110,7 @@
 
 // Watch implements Reader.
 func (rl *Relayed) Watch(ctx context.Context, kind Kind, after Revision, wait time.Duration) (Update, error) {
+	rl.await(ctx)
 	address, ok := rl.pick()
 	if !ok {
 		return rl.store.Watch(ctx, kind, after, wait)
--- a/io/objects/store.go
+++ b/io/objects/store.go
@@ -62,6 +62,8 @@
 // Store is a store of objects.
 type Store interface {
 	Reader
+	// Create creates an object, or fails with ErrConflict if it exists.
+	Create(ctx context.Context, kind Kind, name string, spec any) error
 	// Put creates or replaces an object.
 	Put(ctx context.Context, kind Kind, name string, spec any) error
 	// Remove removes an object.
