--- a/core/routing/model.go
+++ b/core/routing/model.go
@@ -71,4 +71,6 @@
 	Pools   []Pool
 	Teams   []Team
 	Limits  Limits
+	// Warnings tell what of the configuration was not understood, and how it is served.
+	Warnings []string
 }
--- a/io/gateway/registry.go
+++ b/io/gateway/registry.go
@@ -71,6 +71,9 @@
 	ct.Placer.SetWarmups(warm)
 	ct.Server.SetTable(tb)
 	ct.divide(now)
+	for _, text := range cfg.Warnings {
+		ct.Log.Warn("part of the configuration is not understood", "version", uint64(cfg.Version), "detail", text)
+	}
 	ct.Log.Info("configuration is in force", "version", uint64(cfg.Version), "routes", len(cfg.Routes),
 		"teams", len(cfg.Teams))
 }
