--- a/core/allot/bucket.go
+++ b/core/allot/bucket.go
@@ -17,7 +17,7 @@
 	bk.last = now
 }
 
-// set changes rate and size. Tokens keep their part of the size, so that shares which move between VMs carry theirs.
+// set changes rate and size.
 func (bk *bucket) set(now time.Time, rate, size float64) {
 	bk.fill(now)
 	bk.rate, bk.size = rate, size
@@ -37,6 +37,3 @@
 	wait = time.Duration((1 - bk.tokens) / bk.rate * float64(time.Second))
 	return min(wait, mostWait), false
 }
-
-// mostWait bounds the time after which a caller is told to come back.
-const mostWait = 10 * time.Second
--- a/core/config/gateway.go
+++ b/core/config/gateway.go
@@ -22,8 +22,12 @@
 	StatusAddress  string
 	MetricsAddress string
 	StoreAddress   string
-	LogLevel       slog.Level
-	MemoryLimit    int64 // bytes; zero means none
+	// RelayAddress is where other VMs follow what this one knows of the store, and Seeds are those of some VMs, which a VM asks
+	// before the store when it starts.
+	RelayAddress string
+	Seeds        []string
+	LogLevel     slog.Level
+	MemoryLimit  int64 // bytes; zero means none
 	// LinkRate is the rate of the VM's network link in Mbit/s; zero means unknown. VMs with fast links serve others.
 	LinkRate float64
 	// RevokeWithin is the time after which a withdrawn key must not be served any more.
@@ -77,6 +81,13 @@
 	gs.StatusAddress, _ = fs.address("status_address")
 	gs.MetricsAddress, _ = fs.address("metrics_address")
 	gs.StoreAddress, _ = fs.address("store_address")
+	gs.RelayAddress = gs.MetricsAddress
+	if fs.get("relay_address") != nil {
+		gs.RelayAddress, _ = fs.address("relay_address")
+	}
+	for _, it := range items(fs, "seeds", readSeed) {
+		gs.Seeds = append(gs.Seeds, it.value)
+	}
 	gs.LogLevel = fs.logLevel("log_level")
 	gs.MemoryLimit = fs.bytes("memory_limit", 0)
 	gs.LinkRate = fs.number("link_mbits", fastestLink, 0)
@@ -100,6 +111,11 @@
 // DefaultRetryRatio is the part of the requests that may be sent again.
 const DefaultRetryRatio = 0.1
 
+func readSeed(fs *fields) string {
+	address, _ := fs.address("address")
+	return address
+}
+
 type domainRegion struct {
 	name   id.FailureDomain
 	region id.Region
--- a/core/place/budget.go
+++ b/core/place/budget.go
@@ -3,36 +3,47 @@
 import (
 	"sync"
 	"time"
+
+	"damasklatch/core/id"
 )
 
 const (
-	// budgetUsed is the part of the allowed ratio of retries that a VM spends. The ratio applies to the requests of each
-	// VM, so the VMs together keep it without messages.
+	// budgetUsed is the part of the allowed retries that a VM spends. The ratio applies to the requests of each VM, so the VMs
+	// together keep it without messages.
 	budgetUsed = 0.8
+	// startSlack is the part of the slack that a process has in its first window: with what the process before it used, a VM
+	// stays within its slack.
+	startSlack = 1/budgetUsed - 1
 	// budgetBuckets divide the window.
 	budgetBuckets = 10
 )
 
-// Budget limits the attempts beyond the first of each request to a part of the recent requests.
-// It is safe for concurrent use.
+// Budget limits the attempts beyond the first of each request to a part of the recent requests of the same pool, and to a
+// number that needs no requests. A process that has just started has a small part of that number, because the one before may
+// have used up its own. Budget is safe for concurrent use.
 type Budget struct {
 	window time.Duration
+	begun  time.Time
+
+	mu    sync.Mutex
+	ratio float64
+	slack float64
+	pools map[id.Pool]*retries
+}
 
-	mu       sync.Mutex
-	ratio    float64
-	start    time.Time
-	slack    float64
-	at       int64 // number of the newest bucket
+// retries counts the requests and retries of a pool in parts of the window.
+type retries struct {
+	at       int64 // number of the newest part
 	requests [budgetBuckets]int
 	retries  [budgetBuckets]int
 }
 
-// NewBudget returns a budget for retries of the ratio and the slack in each window.
-func NewBudget(ratio float64, window time.Duration, slack float64) *Budget {
-	return &Budget{ratio: ratio, window: window, slack: slack}
+// NewBudget returns a budget for retries of the ratio in each window. The slack is zero.
+func NewBudget(now time.Time, ratio float64, window time.Duration) *Budget {
+	return &Budget{ratio: ratio, window: window, begun: now, pools: map[id.Pool]*retries{}}
 }
 
-// SetSlack changes the number of retries in a window that need no requests.
+// SetSlack changes the number of retries of each pool in a window that need no requests.
 func (bg *Budget) SetSlack(slack float64) {
 	bg.mu.Lock()
 	defer bg.mu.Unlock()
@@ -46,41 +57,49 @@
 	bg.ratio = ratio
 }
 
-func (bg *Budget) turn(now time.Time) int {
-	if bg.start.IsZero() {
-		bg.start = now
+// turn returns the counts of a pool with the part that is filled at present.
+func (bg *Budget) turn(now time.Time, pool id.Pool) (*retries, int) {
+	rt := bg.pools[pool]
+	if rt == nil {
+		rt = &retries{}
+		bg.pools[pool] = rt
 	}
-	nr := int64(now.Sub(bg.start) / (bg.window / budgetBuckets))
-	for ; bg.at < nr; bg.at++ {
-		if nr-bg.at > budgetBuckets {
-			bg.at = nr - budgetBuckets
+	nr := int64(now.Sub(bg.begun) / (bg.window / budgetBuckets))
+	for ; rt.at < nr; rt.at++ {
+		if nr-rt.at > budgetBuckets {
+			rt.at = nr - budgetBuckets
 		}
-		next := (bg.at + 1) % budgetBuckets
-		bg.requests[next], bg.retries[next] = 0, 0
+		next := (rt.at + 1) % budgetBuckets
+		rt.requests[next], rt.retries[next] = 0, 0
 	}
-	return int(bg.at % budgetBuckets)
+	return rt, int(rt.at % budgetBuckets)
 }
 
-// Request counts a request.
-func (bg *Budget) Request(now time.Time) {
+// Request counts a request for a pool.
+func (bg *Budget) Request(now time.Time, pool id.Pool) {
 	bg.mu.Lock()
 	defer bg.mu.Unlock()
-	bg.requests[bg.turn(now)]++
+	rt, nr := bg.turn(now, pool)
+	rt.requests[nr]++
 }
 
-// Take reports whether another attempt is within the budget, and counts it.
-func (bg *Budget) Take(now time.Time) bool {
+// Take reports whether another attempt is within the budget of the pool, and counts it.
+func (bg *Budget) Take(now time.Time, pool id.Pool) bool {
 	bg.mu.Lock()
 	defer bg.mu.Unlock()
-	nr := bg.turn(now)
-	var requests, retries int
+	rt, nr := bg.turn(now, pool)
+	var requests, used int
 	for at := range budgetBuckets {
-		requests += bg.requests[at]
-		retries += bg.retries[at]
+		requests += rt.requests[at]
+		used += rt.retries[at]
+	}
+	slack := bg.slack
+	if now.Sub(bg.begun) < bg.window {
+		slack *= startSlack
 	}
-	if float64(retries+1) > budgetUsed*(bg.ratio*float64(requests)+bg.slack) {
+	if float64(used+1) > budgetUsed*(bg.ratio*float64(requests)+slack) {
 		return false
 	}
-	bg.retries[nr]++
+	rt.retries[nr]++
 	return true
 }
--- /dev/null
+++ b/core/place/budget_test.go
@@ -0,0 +1,88 @@
+package place_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"damasklatch/core/place"
+)
+
+const retryWindow = 10 * time.Second
+
+// Retries beyond the budget would multiply the load of an outage.
+func TestBudget(t *testing.T) {
+	Convey("a budget of a fifth in 10 s", t, func() {
+		bg := place.NewBudget(start, 0.2, retryWindow)
+		bg.SetSlack(5)
+		taken := 0
+		for ms := range 10_000 {
+			now := start.Add(time.Duration(ms) * time.Millisecond)
+			if ms%10 == 0 {
+				bg.Request(now, "desk")
+			}
+			if bg.Take(now, "desk") {
+				taken++
+			}
+		}
+		So(taken, ShouldBeGreaterThan, 100)
+		So(taken, ShouldBeLessThanOrEqualTo, 0.2*1000+5)
+		So(bg.Take(start.Add(time.Minute), "desk"), ShouldBeTrue)
+	})
+	Convey("requests of one pool allow no retries of another", t, func() {
+		bg := place.NewBudget(start, 0.2, retryWindow)
+		for range 1000 {
+			bg.Request(start, "desk")
+		}
+		So(bg.Take(start, "desk"), ShouldBeTrue)
+		So(bg.Take(start, "reports"), ShouldBeFalse)
+	})
+}
+
+// Guards against a fleet whose VMs each begin with a number of retries that need no requests: with restarts, the sum in a window
+// would exceed what the pool may get.
+func TestBudgetOfFleet(t *testing.T) {
+	const vms, slack, ratio, perSecond = 58, 156.0, 0.2, 400
+	rng := rand.New(rand.NewPCG(1, 1))
+	now := start
+	fleet := make([]*place.Budget, vms)
+	restart := func(nr int) {
+		fleet[nr] = place.NewBudget(now, ratio, retryWindow)
+		fleet[nr].SetSlack(slack / vms)
+	}
+	for nr := range fleet {
+		restart(nr)
+	}
+	var requests, retries []time.Time
+	const step = 20 * time.Millisecond
+	for tick := range 2000 {
+		now = now.Add(step)
+		if tick%40 == 0 && tick > 600 {
+			restart(rng.IntN(vms))
+		}
+		for range int(perSecond * step.Seconds()) {
+			nr := rng.IntN(vms)
+			fleet[nr].Request(now, "reports")
+			fleet[nr].Request(now, "desk")
+			fleet[nr].Request(now, "desk")
+			requests = append(requests, now)
+			for range 3 {
+				if fleet[nr].Take(now, "reports") {
+					retries = append(retries, now)
+				}
+			}
+		}
+		from := now.Add(-retryWindow)
+		for len(requests) > 0 && requests[0].Before(from) {
+			requests = requests[1:]
+		}
+		for len(retries) > 0 && retries[0].Before(from) {
+			retries = retries[1:]
+		}
+		if most := ratio*float64(len(requests)) + slack; float64(len(retries)) > most {
+			t.Fatalf("%d retries of %d requests in a window, %g are allowed", len(retries), len(requests), most)
+		}
+	}
+}
--- a/io/gateway/control.go
+++ b/io/gateway/control.go
@@ -18,20 +18,19 @@
 const (
 	// tick is the period of the control loop.
 	tick = 50 * time.Millisecond
-	// statusEvery is the period of status messages in a small fleet. It grows with the fleet from smallFleet VMs on.
-	statusEvery = 250 * time.Millisecond
-	smallFleet  = 24
-	mostStatus  = time.Second
-	// recentPeriods is the number of periods after which a status no longer counts as the present demand: two may be lost.
-	recentPeriods = 2.8
-	// readerWait is the longest wait of a reader's watches of the configuration, which show that the store can be asked;
-	// longWait is that of other watches.
-	readerWait = 600 * time.Millisecond
-	// relayFor is the time since the last answer of the store for which a reader is followed.
+	// reportEvery is the period of reports to other VMs, summaryEvery that of the summaries in them.
+	reportEvery  = 250 * time.Millisecond
+	summaryEvery = 500 * time.Millisecond
+	// readEvery is the period in which a reader lists the configuration. Unlike a watch, the answer shows at once what is newest.
+	readEvery = 800 * time.Millisecond
+	// relayFor is the time beyond that for which a reader is followed without an answer of the store.
 	relayFor = 900 * time.Millisecond
 	longWait = 10 * time.Second
-	// ownEvidence is the age of the lease from which a VM asks the store itself.
-	ownEvidence = 3300 * time.Millisecond
+	// ownEvidence is the age of the lease from which a VM asks the store itself. Speakers ask first, as they serve the others.
+	ownEvidence     = 3300 * time.Millisecond
+	speakerEvidence = 2600 * time.Millisecond
+	// runGap is the pause of the control loop from which this VM counts as not having run.
+	runGap = time.Second
 	// readAgain is the period in which it does so while the lease stays old.
 	readAgain = 500 * time.Millisecond
 	// watchBlind is the time for which a watch may miss changes before the store notices that its history is lost.
@@ -47,8 +46,6 @@
 	sourceTime = 800 * time.Millisecond
 	// lookupTTL is how long callers may keep the answer to a look-up.
 	lookupTTL = 1500 * time.Millisecond
-	// forgetVM is the time after which a silent VM is not sent statuses any more.
-	forgetVM = 60 * time.Second
 )
 
 // Parts are the parts of a daemon that the control loop steers.
@@ -57,7 +54,8 @@
 	Adapter  Adapter
 	Store    objects.Store
 	Lease    *lease.Lease
-	Shares   *allot.Shares
+	Ledger   *allot.Ledger
+	Roster   *roster.Roster
 	Limiter  *Limiter
 	Placer   *place.Placer
 	Budget   *place.Budget
@@ -68,9 +66,8 @@
 // Control owns the control state of a daemon.
 type Control struct {
 	Parts
-	self   roster.Peer
-	roster *roster.Roster
-	send   func(address string, st *roster.Status) error
+	self roster.Peer
+	send func(address string, st *roster.Status) error
 	// showSelf renews the registration, without waiting for it.
 	showSelf func()
 	inbox    chan message
@@ -83,12 +80,13 @@
 	targets   map[string]place.Target
 	held      map[string]time.Time // registrations that lapsed with the store, and until when they are kept
 	listed    map[objects.Kind]bool
+	lastTick  time.Time
 	nextState time.Time
 	lastState time.Time
-	nextTell  time.Time
-	nextRead  time.Time     // of the configuration, while the lease is old
-	period    time.Duration // of statuses
-	lapses    int64         // of the lease, as last seen
+	// nextSummary is when speakers exchange summaries.
+	nextSummary time.Time
+	nextRead    time.Time // of the configuration, while the lease is old
+	lapses      int64     // of the lease, as last seen
 
 	reader   atomic.Bool
 	wantRead atomic.Bool
@@ -97,9 +95,12 @@
 	lookup   atomic.Pointer[directory]
 	peers    []roster.Peer
 	mirror   *objects.Mirror
-	answered atomic.Int64                  // instant of the last answer of the store to a question for the configuration
-	source   atomic.Pointer[string]        // address of the VM that is followed
-	quick    map[objects.Kind]*atomic.Bool // the next watch returns at once
+	answered atomic.Int64           // instant of the last answer of the store to a question for the configuration
+	relayed  atomic.Int64           // the same of a VM that reads the store
+	source   atomic.Pointer[string] // address of the VM that is followed
+	// firstHand tells that the VM that is followed reads the store.
+	firstHand atomic.Bool
+	quick     map[objects.Kind]*atomic.Bool // the next watch returns at once
 }
 
 // message is an input of the control loop.
@@ -112,9 +113,8 @@
 }
 
 type statusMsg struct {
-	at   time.Time
-	from string
-	st   roster.Status
+	at time.Time
+	st *roster.Status
 }
 
 func (snapshotMsg) message() {}
@@ -127,30 +127,30 @@
 func NewControl(pt Parts, self roster.Peer, send func(string, *roster.Status) error, showSelf func()) *Control {
 	now := time.Now()
 	ct := &Control{
-		Parts: pt, self: self, roster: roster.New(self.VM), send: send, showSelf: showSelf, started: now,
+		Parts: pt, self: self, send: send, showSelf: showSelf, started: now, lastTick: now,
 		inbox: make(chan message, inboxSize), informers: map[objects.Kind]*objects.Informer{},
 		changes: map[objects.Kind]objects.Revision{}, progress: map[objects.Kind]*progress{},
 		targets: map[string]place.Target{}, held: map[string]time.Time{},
 		listed: map[objects.Kind]bool{}, quick: map[objects.Kind]*atomic.Bool{},
 	}
-	ct.mirror = objects.NewMirror(ct.follows)
-	from := objects.NewRelayed(pt.Store, ct.relay, pt.Log)
+	ct.mirror = objects.NewMirror(ct.serves)
+	from := objects.NewRelayed(pt.Store, ct.relay, seedsOf(pt.Settings), pt.Log)
 	from.Hold(now.Add(sourceTime))
 	ks := pt.Adapter.Kinds()
 	for _, kind := range []objects.Kind{ks.Config, ks.Targets, ks.Evacuations, ks.VMs} {
 		ct.quick[kind], ct.progress[kind] = new(atomic.Bool), &progress{}
 		src := &source{ct: ct, kind: kind}
 		ct.informers[kind] = objects.New(objects.Options{
-			Store: from, Kind: kind, Clock: pt.Lease.Now, Log: pt.Log, Wait: src.wait, Apply: src.apply,
+			Store: from, Kind: kind, Clock: pt.Lease.Now, Log: pt.Log, Wait: src.wait, Poll: src.poll, Apply: src.apply,
 		})
 	}
 	return ct
 }
 
 // Hear takes a status message.
-func (ct *Control) Hear(at time.Time, from string, st roster.Status) {
+func (ct *Control) Hear(at time.Time, st *roster.Status) {
 	select {
-	case ct.inbox <- statusMsg{at, from, st}:
+	case ct.inbox <- statusMsg{at, st}:
 	default: // the next status replaces it
 	}
 }
@@ -186,25 +186,25 @@
 }
 
 func (ct *Control) tick(now time.Time) {
+	if now.Sub(ct.lastTick) > runGap {
+		ct.Roster.Touch(now, false)
+	}
+	ct.lastTick = now
 	ct.dropHeld(now)
 	ct.catchUp(now)
 	if !now.Before(ct.nextState) {
 		ct.renewState(now)
 	}
-	// Statuses of a reader carry the evidence that keeps the leases of the others, so they come often in a fleet of any size.
-	if ct.reader.Load() && !now.Before(ct.nextTell) {
-		ct.tellOthers(now, ct.roster.Members())
-	}
 }
 
-// renewState brings all that follows from the statuses up to date, and tells the others.
+// renewState brings all that follows from the reports of other VMs up to date, and tells them.
 func (ct *Control) renewState(now time.Time) {
-	members := ct.roster.Members()
-	ct.period = min(statusEvery*time.Duration(max(len(members)/smallFleet, 1)), mostStatus)
-	ct.nextState = now.Add(ct.period)
+	ct.nextState = now.Add(reportEvery)
+	ct.Roster.Touch(now, ct.Roster.Heard(now, roster.AliveFor) || ct.sinceAnswer() < roster.AliveFor)
+	members := ct.Roster.Members()
 	ct.setAlive(now, members)
-	ct.divide(now)
-	ct.plan(now, members)
+	ct.setCounts(now)
+	ct.plan(now)
 	ct.setReady(now, members)
-	ct.tellOthers(now, members)
+	ct.tell(now, members)
 }
--- a/io/gateway/daemon.go
+++ b/io/gateway/daemon.go
@@ -86,14 +86,14 @@
 }
 
 var services = fx.Options(fx.Provide(
-	newSelf, newStore, newLease, newShares, newLimiter, newPlacer, newBudget, metrics.New, newServer, newReloader,
+	newSelf, newStore, newLease, newLedger, newRoster, newLimiter, newPlacer, newBudget, metrics.New, newServer, newReloader,
 ))
 
 // newSelf makes the registration of this VM. The incarnation is the time of the start, so a later process has a higher one.
 func newSelf(gs *config.GatewaySettings) roster.Peer {
 	return roster.Peer{
 		VM: gs.VM, Incarnation: id.Incarnation(time.Now().UnixNano()), FailureDomain: gs.FailureDomain, Region: gs.Region,
-		StatusAddress: gs.StatusAddress, CallerAddress: gs.CallerAddress,
+		StatusAddress: gs.StatusAddress, CallerAddress: gs.CallerAddress, RelayAddress: gs.RelayAddress, LinkRate: gs.LinkRate,
 	}
 }
 
@@ -114,19 +114,22 @@
 	return lease.Instant(ts.Nano())
 }
 
-// slackUsed is the part of the tolerated excess over bursts that the VMs use. The rest covers differing views of the fleet.
-const slackUsed = 0.6
+func newLedger(gs *config.GatewaySettings) *allot.Ledger {
+	return allot.New(len(gs.Regions), gs.LimitSlack)
+}
 
-func newShares(gs *config.GatewaySettings) *allot.Shares { return allot.New(slackUsed * gs.LimitSlack) }
+func newRoster(self roster.Peer) *roster.Roster { return roster.New(self) }
 
-func newLimiter(gs *config.GatewaySettings, sh *allot.Shares) *Limiter { return NewLimiter(gs.VM, sh) }
+func newLimiter(gs *config.GatewaySettings, self roster.Peer, lg *allot.Ledger, rs *roster.Roster) *Limiter {
+	return NewLimiter(self, lg, rs, gs.Regions)
+}
 
 func newPlacer(gs *config.GatewaySettings) *place.Placer {
 	return place.New(place.Options{Self: gs.VM, FailureDomain: gs.FailureDomain, Region: gs.Region})
 }
 
 func newBudget(gs *config.GatewaySettings) *place.Budget {
-	return place.NewBudget(gs.RetryRatio, gs.RetryWindow, 0)
+	return place.NewBudget(time.Now(), gs.RetryRatio, gs.RetryWindow)
 }
 
 func newServer(gs *config.GatewaySettings, ad Adapter, ls *lease.Lease, lm *Limiter, pc *place.Placer,
@@ -147,7 +150,8 @@
 	Adapter  Adapter
 	Store    objects.Store
 	Lease    *lease.Lease
-	Shares   *allot.Shares
+	Ledger   *allot.Ledger
+	Roster   *roster.Roster
 	Limiter  *Limiter
 	Placer   *place.Placer
 	Budget   *place.Budget
@@ -176,14 +180,13 @@
 
 func (rn *running) start(context.Context) error {
 	lc, gs := rn.lc, rn.lc.Settings
-	rg := &registrar{store: lc.Store, registry: lc.Adapter, self: lc.Self, log: lc.Log, renewals: make(chan struct{}, 1)}
+	rg := &registrar{store: lc.Store, registry: lc.Adapter, roster: lc.Roster, self: lc.Self, log: lc.Log, renewals: make(chan struct{}, 1)}
 	rn.control = NewControl(Parts{
-		Settings: gs, Adapter: lc.Adapter, Store: lc.Store, Lease: lc.Lease, Shares: lc.Shares, Limiter: lc.Limiter, Placer: lc.Placer,
+		Settings: gs, Adapter: lc.Adapter, Store: lc.Store, Lease: lc.Lease, Ledger: lc.Ledger, Roster: lc.Roster, Limiter: lc.Limiter, Placer: lc.Placer,
 		Budget: lc.Budget, Server: lc.Server, Log: lc.Log,
 	}, lc.Self, rn.sendStatus, rg.show)
-	rg.roster = rn.control.roster
 	var err error
-	hd := status.Handlers{Hear: rn.control.Hear, Admit: lc.Shares.Take}
+	hd := status.Handlers{Hear: rn.control.Hear, Asked: lc.Limiter.Asked}
 	if rn.conn, err = status.Listen(gs.StatusAddress, lc.Log, hd); err != nil {
 		return err
 	}
@@ -232,7 +235,7 @@
 		return byAddress[address]
 	}
 	route(gs.MetricsAddress).Handle("/metrics", lc.Metrics.Handler).Methods(http.MethodGet)
-	route(gs.MetricsAddress).Handle(objects.RelayPath, rn.control.mirror.Handler()).Methods(http.MethodGet)
+	route(gs.RelayAddress).Handle(objects.RelayPath, rn.control.mirror.Handler()).Methods(http.MethodGet)
 	route(gs.ReadyAddress).NewRoute().Handler(lc.Adapter.ReadyHandler(rn.control.Ready))
 	route(gs.LookupAddress).NewRoute().Handler(lc.Adapter.LookupHandler(rn.control))
 	for address, rt := range byAddress {
--- a/io/gateway/fleet.go
+++ b/io/gateway/fleet.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"damasklatch/core/allot"
 	"damasklatch/core/id"
 	"damasklatch/core/place"
 	"damasklatch/core/roster"
@@ -13,86 +12,100 @@
 )
 
 func (ct *Control) takeStatus(ms statusMsg) {
-	st := &ms.st
-	if st.VM == ct.self.VM || !ct.roster.Hear(ms.at, ms.from, ms.st) {
+	rp := &ms.st.Report
+	if rp.VM == ct.self.VM || !ct.Roster.Hear(ms.at, ms.st) {
 		return
 	}
-	reports := make([]place.Report, len(st.Loads))
-	for nr, ld := range st.Loads {
-		reports[nr] = place.Report{Target: ld.Target, Total: ld.Total}
+	ct.takeLoads(ms.at, rp.Loads)
+	for nr := range ms.st.Summaries {
+		ct.takeLoads(ms.at, ms.st.Summaries[nr].Loads)
 	}
-	ct.Placer.Reported(ms.at, reports)
-	if st.EchoOf == ct.self.Incarnation && st.Version == ct.version {
-		ct.Lease.Relay(st.Echo, st.EvidenceAge)
+	if rp.EchoOf == ct.self.Incarnation && rp.Version == ct.version {
+		ct.Lease.Relay(rp.Echo, rp.EvidenceAge)
 	}
-	for name, rev := range st.Changes {
+	for name, rev := range rp.Changes {
 		if pg := ct.progress[objects.Kind(name)]; pg != nil {
 			pg.announce(ms.at, objects.Revision(rev))
 		}
 	}
 }
 
-// setAlive tells the placer which VMs are alive, and decides whether this one reads the store for the others.
+func (ct *Control) takeLoads(now time.Time, loads []roster.Load) {
+	reports := make([]place.Report, len(loads))
+	for nr, ld := range loads {
+		reports[nr] = place.Report{Target: ld.Target, Total: ld.Total}
+	}
+	ct.Placer.Reported(now, reports)
+}
+
+// setAlive tells the placer which VMs of the region are alive, and decides whether this one reads the store for the others.
 func (ct *Control) setAlive(now time.Time, members []roster.Member) {
-	vms := []candidate{{ct.self.VM, ct.Settings.LinkRate}}
-	nb := &neighbors{names: []id.VM{ct.self.VM}, addresses: map[id.VM]string{}}
+	names := []id.VM{ct.self.VM}
+	alive := 1
 	for nr := range members {
 		mb := &members[nr]
-		if !mb.Alive(now) || mb.Status.Leaving {
+		if !mb.Alive(now) || mb.State.Has(roster.Leaving) {
 			continue
 		}
-		vms = append(vms, candidate{mb.VM, mb.Status.LinkRate})
+		alive++
 		if mb.Region == ct.self.Region {
-			nb.names = append(nb.names, mb.VM)
-			nb.addresses[mb.VM] = mb.StatusAddress
+			names = append(names, mb.VM)
 		}
 	}
-	ct.Limiter.region.Store(nb)
-	slices.SortFunc(vms, func(aa, bb candidate) int { return cmp.Compare(aa.name, bb.name) })
-	names := make([]id.VM, len(vms))
-	for nr, vm := range vms {
-		names[nr] = vm.name
-	}
 	ct.Placer.SetVMs(names)
-	ct.Budget.SetSlack(ct.Settings.RetrySlack / float64(len(vms)))
-	ct.reader.Store(slices.Contains(chooseReaders(vms), ct.self.VM))
+	ct.Budget.SetSlack(ct.Settings.RetrySlack / float64(alive))
+	ct.reader.Store(slices.Contains(chooseReaders(ct.candidates(now)), ct.self.VM))
 	ct.setSource(now, members)
 }
 
-// divide sets the shares of limits. After the lease had ended, other VMs may have divided the shares of this one, so it gives
-// them up and shows itself in the store.
-func (ct *Control) divide(now time.Time) {
+// candidates returns the first speaker of each failure domain, sorted.
+func (ct *Control) candidates(now time.Time) []candidate {
+	var all []candidate
+	for fd, rg := range ct.Settings.Regions {
+		for _, pr := range ct.Roster.Speakers(now, fd) {
+			all = append(all, candidate{pr.VM, rg, pr.LinkRate})
+		}
+	}
+	slices.SortFunc(all, func(aa, bb candidate) int { return cmp.Compare(aa.name, bb.name) })
+	return all
+}
+
+// setCounts decides for which teams this VM counts the requests of its failure domain. After the lease had ended, other VMs may
+// have counted instead, so it gives up its tokens and shows itself in the store.
+func (ct *Control) setCounts(now time.Time) {
 	if lapses := ct.Lease.Lapses(); lapses != ct.lapses {
 		ct.lapses = lapses
-		ct.Log.Info("lease of the configuration was regained, shares of limits start again", "lapses", lapses)
-		ct.Shares.Restart()
+		ct.Log.Info("lease of the configuration was regained, limits are counted from zero", "lapses", lapses)
+		ct.Ledger.Restart(now)
 		ct.showSelf()
 	}
-	recent := time.Duration(recentPeriods * float64(ct.period))
-	var others []allot.Report
-	for _, mb := range ct.roster.Owners(now) {
-		others = append(others, allot.Report{
-			VM: mb.VM, Process: mb.Incarnation, Demand: mb.Status.Demand, Recent: mb.HeardWithin(now, recent),
-			Measuring: mb.Status.Measuring,
-		})
-	}
-	ct.Shares.Divide(now, others)
+	ct.Ledger.SetCounts(now, ct.counts)
+}
+
+// counts reports whether this VM counts the requests of a team in its failure domain.
+func (ct *Control) counts(team id.Team) bool {
+	pr, _ := ct.Roster.Counter(time.Now(), ct.self.FailureDomain, team)
+	return ct.listed[ct.Adapter.Kinds().VMs] && pr.VM == ct.self.VM
 }
 
-func (ct *Control) plan(now time.Time, members []roster.Member) {
+func (ct *Control) plan(now time.Time) {
 	demand := map[id.Pool]map[id.Region]float64{}
-	add := func(rg id.Region, work map[id.Pool]float32) {
-		for pl, slots := range work {
-			if demand[pl] == nil {
-				demand[pl] = map[id.Region]float64{}
-			}
-			demand[pl][rg] += float64(slots)
+	add := func(rg id.Region, pl id.Pool, slots float64) {
+		if demand[pl] == nil {
+			demand[pl] = map[id.Region]float64{}
 		}
+		demand[pl][rg] += slots
 	}
-	add(ct.self.Region, ct.Placer.Demand(now))
-	for nr := range members {
-		if members[nr].Alive(now) {
-			add(members[nr].Region, members[nr].Status.Work)
+	work, own := ct.Roster.Work(now, ct.Settings.Regions)
+	for rg, pools := range work {
+		for pl, slots := range pools {
+			add(rg, pl, slots)
+		}
+	}
+	mine := ct.Placer.Demand(now)
+	if !own {
+		for pl, slots := range mine {
+			add(ct.self.Region, pl, float64(slots))
 		}
 	}
 	ct.Placer.Plan(now, demand)
@@ -111,7 +124,7 @@
 	}
 	for nr := range members {
 		mb := &members[nr]
-		if mb.Alive(now) && mb.Status.Ready && !mb.Status.Leaving {
+		if mb.Alive(now) && mb.State.Has(roster.Ready) && !mb.State.Has(roster.Leaving) {
 			dr.vms = append(dr.vms, entryOf(mb.Peer))
 		}
 	}
@@ -128,47 +141,6 @@
 	return len(members) > 0
 }
 
-// tellOthers sends this VM's status to all others.
-func (ct *Control) tellOthers(now time.Time, members []roster.Member) {
-	ct.nextTell = now.Add(statusEvery)
-	st := ct.status()
-	for nr := range members {
-		mb := &members[nr]
-		if quiet := now.Sub(mb.Heard); !mb.Heard.IsZero() && quiet > forgetVM {
-			continue
-		}
-		st.Echo, st.EchoOf = mb.Status.Sent, mb.Status.Incarnation
-		if err := ct.send(mb.StatusAddress, st); err != nil {
-			ct.Log.Debug("status not sent", "peer", string(mb.VM), "error", err.Error())
-		}
-	}
-}
-
-func (ct *Control) status() *roster.Status {
-	now := time.Now()
-	age, ok := ct.Lease.Age()
-	if !ok {
-		age = -1
-	}
-	st := &roster.Status{
-		VM: ct.self.VM, Incarnation: ct.self.Incarnation, FailureDomain: ct.self.FailureDomain, Region: ct.self.Region,
-		CallerAddress: ct.self.CallerAddress, Ready: ct.Ready(), Leaving: ct.leaving.Load(), Version: ct.version,
-		EvidenceAge: age, Sent: ct.Lease.Now(), Demand: ct.Shares.Demand(now), Work: ct.Placer.Demand(now),
-		LinkRate: ct.Settings.LinkRate, Measuring: ct.Shares.Measuring(now), Silent: ct.roster.Silent(now), Changes: make(map[string]int64, len(ct.changes)),
-	}
-	if ct.follows() {
-		st.RelayAddress = ct.Settings.MetricsAddress
-	}
-	for kind, rev := range ct.changes {
-		st.Changes[string(kind)] = int64(rev)
-	}
-	for _, rp := range ct.Placer.Reports(ct.lastState) {
-		st.Loads = append(st.Loads, roster.Load{Target: rp.Target, Total: rp.Total})
-	}
-	ct.lastState = now
-	return st
-}
-
 // Entries implements Directory.
 func (ct *Control) Entries(fd id.FailureDomain, rg id.Region) ([]string, time.Duration) {
 	dr := ct.lookup.Load()
--- a/io/gateway/follow.go
+++ b/io/gateway/follow.go
@@ -1,8 +1,12 @@
 package gateway
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
+	"damasklatch/core/config"
 	"damasklatch/core/id"
 	"damasklatch/core/rendezvous"
 	"damasklatch/core/roster"
@@ -16,21 +20,34 @@
 }
 
 func (sr *source) apply(sn objects.Snapshot, changed bool) {
-	if !sn.Relayed {
-		sr.ct.mirror.Apply(sr.kind, sn)
-		if sr.kind == sr.ct.Adapter.Kinds().Config {
-			sr.ct.answered.Store(int64(sr.ct.Lease.Now()))
+	sr.ct.mirror.Apply(sr.kind, sn)
+	if sr.kind == sr.ct.Adapter.Kinds().Config {
+		last := &sr.ct.answered
+		if sn.Relayed {
+			last = &sr.ct.relayed
 		}
+		last.Store(int64(sr.ct.Lease.Now()))
 	}
 	sr.ct.inbox <- snapshotMsg{sr.kind, sn, changed}
 }
 
+// sinceAnswer returns the time since the last answer of the store.
+func (ct *Control) sinceAnswer() time.Duration {
+	return time.Duration(int64(ct.Lease.Now()) - ct.answered.Load())
+}
+
 // follows reports whether this VM follows the store closely.
-func (ct *Control) follows() bool {
-	since := time.Duration(int64(ct.Lease.Now()) - ct.answered.Load())
-	return ct.reader.Load() && since < readerWait+relayFor
+func (ct *Control) follows() bool { return ct.reader.Load() && ct.sinceAnswer() < readEvery+relayFor }
+
+// relays reports whether this VM closely follows one that reads the store.
+func (ct *Control) relays() bool {
+	since := time.Duration(int64(ct.Lease.Now()) - ct.relayed.Load())
+	return !ct.reader.Load() && ct.firstHand.Load() && since < objects.RelayWait+relayFor
 }
 
+// serves reports whether other VMs may read what this one knows of the store.
+func (ct *Control) serves() bool { return ct.sinceAnswer() < readEvery+relayFor || ct.relays() }
+
 // relay returns the VM that is followed in place of the store.
 func (ct *Control) relay() (string, bool) {
 	address := ct.source.Load()
@@ -41,14 +58,26 @@
 }
 
 func (sr *source) wait() time.Duration {
-	switch {
-	case sr.ct.quick[sr.kind].Swap(false):
+	if sr.ct.quick[sr.kind].Swap(false) {
 		return time.Millisecond
-	case sr.kind == sr.ct.Adapter.Kinds().Config && (sr.ct.reader.Load() || sr.ct.wantRead.Load()):
-		return readerWait
-	default:
-		return longWait
 	}
+	return longWait
+}
+
+// poll lets readers, and VMs whose lease is old, list the configuration: the answer is evidence that it is the newest.
+func (sr *source) poll() (time.Duration, bool) {
+	if sr.kind != sr.ct.Adapter.Kinds().Config || !sr.ct.reader.Load() && !sr.ct.wantRead.Load() {
+		return 0, false
+	}
+	return readEvery, true
+}
+
+// seedsOf returns the VMs that a VM asks when it starts. A seed asks the store.
+func seedsOf(gs *config.GatewaySettings) []string {
+	if slices.Contains(gs.Seeds, gs.RelayAddress) {
+		return nil
+	}
+	return gs.Seeds
 }
 
 // catchUp renews watches that miss what other VMs have seen, and asks for evidence if the lease is about to end.
@@ -62,67 +91,95 @@
 		ct.Log.Info("watch missed a change", "kind", string(kind))
 	}
 	age, ok := ct.Lease.Age()
-	old := !ok || age > ownEvidence
+	limit := ownEvidence
+	if ct.Roster.Speaks(now) {
+		limit = speakerEvidence
+	}
+	old := !ok || age > limit
 	config := ct.Adapter.Kinds().Config
 	ct.wantRead.Store(old)
 	if old && !now.Before(ct.nextRead) && ct.listed[config] && !ct.reader.Load() {
 		ct.nextRead = now.Add(readAgain)
-		ct.quick[config].Store(true)
 		ct.informers[config].Kick()
 	}
 }
 
-// setSource chooses the VM to follow: one that follows the store, in the own region if there is one.
+// setSource chooses the VM to follow. Speakers follow a VM that reads the store, the others one of their failure domain that
+// follows such a VM, so that each reader serves a few.
 func (ct *Control) setSource(now time.Time, members []roster.Member) {
-	var near, far []string
+	speaks := ct.Roster.Speaks(now)
+	var ranks [3][]string // in order of preference
+	add := func(rank int, mb *roster.Member) { ranks[rank] = append(ranks[rank], mb.RelayAddress) }
+	firstHand := map[string]bool{}
 	for nr := range members {
 		mb := &members[nr]
+		reads := mb.State.Has(roster.Reads)
+		firstHand[mb.RelayAddress] = reads
 		switch {
-		case !mb.Alive(now) || mb.Status.RelayAddress == "":
-		case mb.Region == ct.self.Region:
-			near = append(near, mb.Status.RelayAddress)
-		default:
-			far = append(far, mb.Status.RelayAddress)
+		case !mb.Alive(now) || mb.RelayAddress == "":
+		case mb.FailureDomain == ct.self.FailureDomain && (reads || !speaks && mb.State.Has(roster.Relays)):
+			add(0, mb)
+		case reads && mb.Region == ct.self.Region:
+			add(1, mb)
+		case reads:
+			add(2, mb)
 		}
 	}
-	if len(near) == 0 {
-		near = far
-	}
 	key := rendezvous.Hash(string(ct.self.VM))
-	if address, ok := rendezvous.Pick(key, near); ok {
-		ct.source.Store(&address)
-	} else {
-		ct.source.Store(nil)
+	for _, rank := range ranks {
+		if address, ok := rendezvous.Pick(key, rank); ok {
+			ct.follow(&address, firstHand[address])
+			return
+		}
 	}
+	ct.follow(nil, false)
 }
 
-// candidate is a VM that may read the store for the others.
+// follow changes the VM to follow. Watches at another one are given up.
+func (ct *Control) follow(address *string, firstHand bool) {
+	ct.firstHand.Store(firstHand)
+	before := ct.source.Swap(address)
+	if before == nil || address != nil && *before == *address {
+		return
+	}
+	for _, in := range ct.informers {
+		in.Kick()
+	}
+}
+
+// candidate is a speaker that may read the store for the others.
 type candidate struct {
 	name     id.VM
+	region   id.Region
 	linkRate float64 // Mbit/s
 }
 
 const (
-	// leastReaders is the number of readers in a small fleet. Larger ones have one for followersPerReader VMs, because a
+	// leastReaders is the number of readers in a small fleet. Larger ones have one more for speakersPerReader speakers, because a
 	// reader sends each change to all that follow it.
-	leastReaders       = 3
-	followersPerReader = 12
+	leastReaders      = 3
+	speakersPerReader = 16
 )
 
-// chooseReaders returns the VMs that read the store for the others: out of groups of equal size, the one with the fastest link.
-// All VMs that see the same fleet choose the same ones. The candidates are sorted by name.
+// chooseReaders returns the VMs that read the store for the others: in turn from each region the one with the fastest link. All
+// VMs that see the same speakers choose the same ones. The candidates are sorted by name.
 func chooseReaders(all []candidate) []id.VM {
-	groups := min(max(leastReaders, len(all)/followersPerReader), len(all))
-	chosen := make([]id.VM, 0, groups)
-	for nr := range groups {
-		group := all[nr*len(all)/groups : (nr+1)*len(all)/groups]
-		best := group[0]
-		for _, cd := range group {
-			if cd.linkRate > best.linkRate {
-				best = cd
+	byRegion := map[id.Region][]candidate{}
+	for _, cd := range all {
+		byRegion[cd.region] = append(byRegion[cd.region], cd)
+	}
+	regions := slices.Sorted(maps.Keys(byRegion))
+	for _, rg := range regions {
+		slices.SortStableFunc(byRegion[rg], func(aa, bb candidate) int { return cmp.Compare(bb.linkRate, aa.linkRate) })
+	}
+	most := min(max(leastReaders, len(all)/speakersPerReader), len(all))
+	var chosen []id.VM
+	for turn := 0; len(chosen) < most; turn++ {
+		for _, rg := range regions {
+			if turn < len(byRegion[rg]) && len(chosen) < most {
+				chosen = append(chosen, byRegion[rg][turn].name)
 			}
 		}
-		chosen = append(chosen, best.name)
 	}
 	return chosen
 }
--- a/io/gateway/forward.go
+++ b/io/gateway/forward.go
@@ -45,7 +45,7 @@
 // forward sends the request to a target, or to more if that is allowed, and passes the response on. It returns a refusal
 // if there is none.
 func (rq *request) forward() *refusal {
-	rq.sv.op.Budget.Request(rq.started)
+	rq.sv.op.Budget.Request(rq.started, rq.ask.Pool)
 	unreached := 0
 	var last *outcome
 	for {
@@ -63,7 +63,7 @@
 			rq.attempts--
 		}
 		last = oc
-		if !rq.mayRetry(oc, unreached) || oc.kind != place.Unreached && !rq.sv.op.Budget.Take(time.Now()) {
+		if !rq.mayRetry(oc, unreached) || oc.kind != place.Unreached && !rq.sv.op.Budget.Take(time.Now(), rq.ask.Pool) {
 			return rq.finish(last)
 		}
 		oc.discard()
@@ -115,7 +115,7 @@
 	if rf != nil {
 		return rc.won(<-rc.done)
 	}
-	if !rq.sv.op.Budget.Take(time.Now()) {
+	if !rq.sv.op.Budget.Take(time.Now(), rq.ask.Pool) {
 		rq.sv.op.Placer.Done(time.Now(), &ch, rq.route.Name, place.Result{Kind: place.Dropped})
 		return rc.won(<-rc.done)
 	}
--- a/io/gateway/limiter.go
+++ b/io/gateway/limiter.go
@@ -1,49 +1,211 @@
 package gateway
 
 import (
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"damasklatch/core/allot"
 	"damasklatch/core/id"
 	"damasklatch/core/rendezvous"
+	"damasklatch/core/roster"
 	"damasklatch/io/status"
 )
 
-// askLimit bounds the question to another VM of the region. Without an answer this VM's own share decides.
-const askLimit = 40 * time.Millisecond
+const (
+	// counterLimit bounds the question to the VM that counts, which may have to borrow first.
+	counterLimit = 250 * time.Millisecond
+	// nearLimit and farLimit bound a question for a loan in the own region and in another one.
+	nearLimit = 40 * time.Millisecond
+	farLimit  = 180 * time.Millisecond
+	// dryTime is the time for which no loan is asked for after nobody had a token to lend.
+	dryTime = 250 * time.Millisecond
+	// farLenders bounds the failure domains of other regions that are asked at the same time.
+	farLenders = 3
+)
 
-// Limiter admits requests of teams. A limit that is too small to be divided over all VMs is counted by one VM of each region,
-// which the others ask.
+// Limiter admits requests of teams. One VM of each failure domain counts those of a team; it borrows from the VMs that count in
+// the other failure domains if it is short.
 type Limiter struct {
-	self   id.VM
-	shares *allot.Shares
-	ask    func(address string, team id.Team, limit time.Duration) (status.Grant, error)
-	region atomic.Pointer[neighbors]
+	self    roster.Peer
+	ledger  *allot.Ledger
+	roster  *roster.Roster
+	domains []domain
+	ask     func(address string, ak status.Ask, limit time.Duration) (status.Grant, error)
+
+	mu     sync.Mutex
+	rounds map[id.Team]*round
+}
+
+// domain is a failure domain.
+type domain struct {
+	name id.FailureDomain
+	near bool // in this VM's region
 }
 
-// neighbors are the VMs of a region that are alive, this one included.
-type neighbors struct {
-	names     []id.VM
-	addresses map[id.VM]string
+// round asks the VMs that may lend tokens of a team.
+type round struct {
+	done  chan struct{}
+	until time.Time // before which no other round begins, if nobody had a token
 }
 
-// NewLimiter returns a limiter that knows no other VM.
-func NewLimiter(self id.VM, sh *allot.Shares) *Limiter {
-	lm := &Limiter{self: self, shares: sh}
-	lm.region.Store(&neighbors{})
+// NewLimiter returns a limiter for a VM. The regions are those of all failure domains.
+func NewLimiter(self roster.Peer, lg *allot.Ledger, rs *roster.Roster, regions map[id.FailureDomain]id.Region) *Limiter {
+	lm := &Limiter{self: self, ledger: lg, roster: rs, rounds: map[id.Team]*round{}}
+	for name, rg := range regions {
+		if name != self.FailureDomain {
+			lm.domains = append(lm.domains, domain{name, rg == self.Region})
+		}
+	}
 	return lm
 }
 
 // Take admits a request, or returns the time until another one is admitted.
 func (lm *Limiter) Take(now time.Time, team id.Team) (wait time.Duration, ok bool) {
-	if nb := lm.region.Load(); lm.ask != nil && len(nb.names) > 1 && lm.shares.Small(team) {
-		name, _ := rendezvous.Pick(rendezvous.Hash(string(team)), nb.names)
-		if name != lm.self {
-			if gr, err := lm.ask(nb.addresses[name], team, askLimit); err == nil {
-				return gr.Wait, gr.OK
-			}
+	verdict, wait := lm.ledger.Take(now, team)
+	switch verdict {
+	case allot.Admitted:
+		return 0, true
+	case allot.Elsewhere:
+		if gr, ok := lm.askCounter(now, team); ok {
+			lm.ledger.Credit(now, team, gr.Tokens-1)
+			return gr.Wait, gr.Tokens > 0
 		}
+	case allot.Short:
+	}
+	if lm.borrow(team) {
+		if verdict, _ := lm.ledger.Take(time.Now(), team); verdict == allot.Admitted {
+			return 0, true
+		}
+	}
+	return max(wait, dryTime), false
+}
+
+// askCounter asks the VM that counts the requests of a team in this failure domain. It reports false if that one can't be asked.
+func (lm *Limiter) askCounter(now time.Time, team id.Team) (status.Grant, bool) {
+	pr, alive := lm.roster.Counter(now, lm.self.FailureDomain, team)
+	if !alive || pr.VM == lm.self.VM {
+		return status.Grant{}, false
+	}
+	gr, err := lm.ask(pr.StatusAddress, status.Ask{Team: team, Want: lm.ledger.Wanted(now, team)}, counterLimit)
+	return gr, err == nil && gr.Counting
+}
+
+// Asked answers the question of another VM.
+func (lm *Limiter) Asked(now time.Time, ak status.Ask, reply status.Reply) {
+	gr := lm.lend(now, ak)
+	if gr.Tokens > 0 || !gr.Counting || ak.Lend {
+		reply.Send(gr)
+		return
+	}
+	lm.ledger.Arrived(now, ak.Team, 1)
+	go (&errand{lm, ak, reply, gr}).run()
+}
+
+func (lm *Limiter) lend(now time.Time, ak status.Ask) status.Grant {
+	tokens, wait, counting := lm.ledger.Lend(now, ak.Team, ak.Want)
+	return status.Grant{Tokens: tokens, Wait: wait, Counting: counting}
+}
+
+// errand borrows tokens before it answers the question of another VM.
+type errand struct {
+	lm    *Limiter
+	ask   status.Ask
+	reply status.Reply
+	grant status.Grant
+}
+
+func (er *errand) run() {
+	if er.lm.borrow(er.ask.Team) {
+		er.grant = er.lm.lend(time.Now(), er.ask)
+	}
+	er.grant.Wait = max(er.grant.Wait, dryTime)
+	er.reply.Send(er.grant)
+}
+
+// borrow asks for tokens of a team, first in the own region. It reports whether there were any. Those who come while it asks wait
+// for the same answers.
+func (lm *Limiter) borrow(team id.Team) bool {
+	now := time.Now()
+	lm.mu.Lock()
+	rd := lm.rounds[team]
+	switch {
+	case rd != nil && rd.done != nil:
+		lm.mu.Unlock()
+		<-rd.done
+		return true
+	case rd != nil && now.Before(rd.until):
+		lm.mu.Unlock()
+		return false
+	}
+	rd = &round{done: make(chan struct{})}
+	lm.rounds[team] = rd
+	lm.mu.Unlock()
+	got := lm.askLenders(now, team, true) || lm.askLenders(time.Now(), team, false)
+	lm.mu.Lock()
+	defer lm.mu.Unlock()
+	close(rd.done)
+	next := &round{}
+	if !got {
+		next.until = time.Now().Add(dryTime)
+	}
+	lm.rounds[team] = next
+	return got
+}
+
+// askLenders asks failure domains of the own region, or some of the others, at the same time.
+func (lm *Limiter) askLenders(now time.Time, team id.Team, near bool) bool {
+	limit, most := farLimit, farLenders
+	if near {
+		limit, most = nearLimit, len(lm.domains)
+	}
+	lenders := lm.lenders(now, team, near, most)
+	if len(lenders) == 0 {
+		return false
+	}
+	want := lm.ledger.Wanted(now, team)
+	each := (want + len(lenders) - 1) / len(lenders)
+	done := make(chan int, len(lenders))
+	for _, pr := range lenders {
+		qs := &quest{lm, pr.StatusAddress, status.Ask{Team: team, Want: each, Lend: true}, limit, now, done}
+		go qs.run()
+	}
+	sum := 0
+	for range lenders {
+		sum += <-done
+	}
+	return sum > 0
+}
+
+// lenders returns the VMs that count the requests of a team in other failure domains, beginning with another one in each round.
+func (lm *Limiter) lenders(now time.Time, team id.Team, near bool, most int) []roster.Peer {
+	var list []roster.Peer
+	from := int(rendezvous.Mix(uint64(now.UnixNano())) % uint64(max(len(lm.domains), 1)))
+	for nr := range lm.domains {
+		dm := lm.domains[(from+nr)%len(lm.domains)]
+		if dm.near != near {
+			continue
+		}
+		if pr, alive := lm.roster.Counter(now, dm.name, team); alive && len(list) < most {
+			list = append(list, pr)
+		}
+	}
+	return list
+}
+
+// quest asks one VM for a loan.
+type quest struct {
+	lm      *Limiter
+	address string
+	ask     status.Ask
+	limit   time.Duration
+	began   time.Time
+	done    chan<- int
+}
+
+func (qs *quest) run() {
+	gr, err := qs.lm.ask(qs.address, qs.ask, qs.limit)
+	if err == nil {
+		qs.lm.ledger.Credit(qs.began, qs.ask.Team, gr.Tokens)
 	}
-	return lm.shares.Take(now, team)
+	qs.done <- gr.Tokens
 }
--- a/io/gateway/registrar.go
+++ b/io/gateway/registrar.go
@@ -14,15 +14,15 @@
 const (
 	// registerPause is the pause after a registration that was not written.
 	registerPause = 200 * time.Millisecond
-	// beatEvery is the period in which the registration is renewed while other VMs are missed. Several fit into
+	// beatEvery is the period in which the registration is renewed while nobody hears this VM. Several fit into
 	// roster.ForgetAfter.
 	beatEvery = 2 * time.Second
 	// registerLimit bounds the time of one write.
 	registerLimit = time.Second
 )
 
-// registrar keeps the registration of this VM in the store. While VMs are missed that may use shares of limits, it renews the
-// registration, so that VMs which can't hear this one see that it is alive. It does the same on request.
+// registrar keeps the registration of this VM in the store. While nobody hears the VM, it renews the registration,
+// so that others see that it is alive and keeps its limits. It does the same on request.
 type registrar struct {
 	store    objects.Store
 	registry Registry
@@ -55,7 +55,7 @@
 		case <-rg.renewals:
 			rg.beat(ctx)
 		case <-tk.C:
-			if rg.roster.Misses(time.Now()) {
+			if rg.roster.Beats(time.Now()) {
 				rg.beat(ctx)
 			}
 		}
--- a/io/gateway/registry.go
+++ b/io/gateway/registry.go
@@ -67,10 +67,9 @@
 	for _, pl := range cfg.Pools {
 		warm[pl.Name] = place.Warmup{Period: pl.Warmup, Rate: pl.WarmupRate}
 	}
-	ct.Shares.SetLimits(now, limits)
+	ct.Ledger.SetLimits(now, limits, ct.counts)
 	ct.Placer.SetWarmups(warm)
 	ct.Server.SetTable(tb)
-	ct.divide(now)
 	for _, text := range cfg.Warnings {
 		ct.Log.Warn("part of the configuration is not understood", "version", uint64(cfg.Version), "detail", text)
 	}
@@ -159,6 +158,6 @@
 		}
 		ct.peers = append(ct.peers, pr)
 	}
-	ct.roster.SetPeers(time.Now(), ct.peers)
+	ct.Roster.SetPeers(time.Now(), ct.peers)
 	ct.nextState = time.Time{} // greet new VMs at once
 }
--- a/io/objects/informer.go
+++ b/io/objects/informer.go
@@ -43,6 +43,8 @@
 	Log   *slog.Logger
 	// Wait returns the wait of the next watch.
 	Wait func() time.Duration
+	// Poll reports whether the list is read again and again in place of a watch, and how often. May be nil.
+	Poll func() (every time.Duration, ok bool)
 	// Apply is called with each response of the store. The objects must not be changed.
 	Apply func(sn Snapshot, changed bool)
 }
@@ -93,6 +95,11 @@
 	if !in.listed {
 		return false, in.list(ctx)
 	}
+	if in.op.Poll != nil {
+		if every, ok := in.op.Poll(); ok {
+			return in.poll(ctx, every)
+		}
+	}
 	wait := in.op.Wait()
 	wctx, cancel := context.WithTimeout(ctx, wait+watchGrace)
 	defer cancel()
@@ -124,6 +131,22 @@
 	in.cancel = cancel
 }
 
+// poll lists the objects and waits for the rest of the period.
+func (in *Informer) poll(ctx context.Context, every time.Duration) (kicked bool, err error) {
+	wctx, cancel := context.WithTimeout(ctx, every)
+	defer cancel()
+	in.setCancel(cancel)
+	defer in.setCancel(nil)
+	if err := in.list(ctx); err != nil {
+		return false, err
+	}
+	<-wctx.Done()
+	return errors.Is(wctx.Err(), context.Canceled), nil
+}
+
+// errBackwards means that another VM knows less of the store than this one.
+var errBackwards = errors.New("the other VM is behind")
+
 func (in *Informer) list(ctx context.Context) error {
 	lctx, cancel := context.WithTimeout(ctx, listLimit)
 	defer cancel()
@@ -132,13 +155,19 @@
 	if err != nil {
 		return err
 	}
+	if ls.Relayed && ls.Revision < in.revision {
+		return errBackwards
+	}
 	in.recovered()
 	next := make(map[string]Object, len(ls.Objects))
+	changed := !in.listed || len(ls.Objects) != len(in.objects)
 	for _, ob := range ls.Objects {
+		old, ok := in.objects[ob.Name]
+		changed = changed || !ok || old.Revision != ob.Revision
 		next[ob.Name] = ob
 	}
-	in.objects, in.revision, in.listed = next, ls.Revision, true
-	in.apply(Snapshot{Asked: asked, Listed: true, Relayed: ls.Relayed}, true)
+	in.objects, in.revision, in.listed = next, max(in.revision, ls.Revision), true
+	in.apply(Snapshot{Asked: asked, Listed: true, Relayed: ls.Relayed}, changed)
 	return nil
 }
 
--- a/io/objects/relay.go
+++ b/io/objects/relay.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/url"
@@ -53,8 +54,8 @@
 }
 
 const (
-	// relayWait bounds the wait of a watch at another VM, which costs no call of the store.
-	relayWait  = 1200 * time.Millisecond
+	// RelayWait bounds the wait of a watch at another VM, which costs no call of the store.
+	RelayWait  = 3 * time.Second
 	relayGrace = 500 * time.Millisecond
 	relayDial  = 300 * time.Millisecond
 	// relayAvoid is the time for which a VM that failed is not asked again.
@@ -67,6 +68,7 @@
 type Relayed struct {
 	store  Reader
 	source func() (address string, ok bool)
+	seeds  []string  // that are asked for lists while there is no source
 	until  time.Time // until when watches wait for a source
 	http   *http.Client
 	log    *slog.Logger
@@ -75,11 +77,12 @@
 	avoid map[string]time.Time
 }
 
-// NewRelayed returns a reader. Source returns the address of the VM to ask, and false if the store itself is to be asked.
-func NewRelayed(store Reader, source func() (string, bool), log *slog.Logger) *Relayed {
+// NewRelayed returns a reader. Source returns the address of the VM to ask, and false if the store itself is to be asked. The
+// seeds are asked for lists until the time of Hold, because all VMs of a fleet that starts would else list from the store.
+func NewRelayed(store Reader, source func() (string, bool), seeds []string, log *slog.Logger) *Relayed {
 	dl := &net.Dialer{Timeout: relayDial}
 	return &Relayed{
-		store: store, source: source, log: log, avoid: map[string]time.Time{},
+		store: store, source: source, seeds: seeds, log: log, avoid: map[string]time.Time{},
 		http: &http.Client{Transport: &http.Transport{DialContext: dl.DialContext, MaxIdleConnsPerHost: 4}},
 	}
 }
@@ -88,7 +91,7 @@
 func (rl *Relayed) Hold(until time.Time) { rl.until = until }
 
 // holdStep is the period in which a watch that waits looks for a source.
-const holdStep = 50 * time.Millisecond
+const holdStep = 100 * time.Millisecond
 
 func (rl *Relayed) await(ctx context.Context) {
 	for time.Now().Before(rl.until) && ctx.Err() == nil {
@@ -105,6 +108,13 @@
 	if address, ok := rl.pick(); ok && rl.ask(ctx, address, kind, nil, relayGrace, &ls) == nil {
 		return ls, nil
 	}
+	for len(rl.seeds) > 0 && time.Now().Before(rl.until) && ctx.Err() == nil {
+		address := rl.seeds[rand.N(len(rl.seeds))]
+		if rl.ask(ctx, address, kind, nil, relayGrace, &ls) == nil {
+			return ls, nil
+		}
+		sleep(ctx, holdStep)
+	}
 	return rl.store.List(ctx, kind)
 }
 
@@ -115,7 +125,7 @@
 	if !ok {
 		return rl.store.Watch(ctx, kind, after, wait)
 	}
-	short := min(wait, relayWait)
+	short := min(wait, RelayWait)
 	query := url.Values{
 		"after": {strconv.FormatInt(int64(after), 10)}, "wait_ms": {strconv.FormatInt(short.Milliseconds(), 10)},
 	}
--- a/io/status/conn.go
+++ b/io/status/conn.go
@@ -25,27 +25,47 @@
 // message is what a datagram holds: one of its fields.
 type message struct {
 	Status *roster.Status `cbor:"1,keyasint,omitempty"`
-	Ask    *ask           `cbor:"2,keyasint,omitempty"`
+	Ask    *Ask           `cbor:"2,keyasint,omitempty"`
 	Grant  *Grant         `cbor:"3,keyasint,omitempty"`
 }
 
-// ask is the question whether a request of a team may be admitted.
-type ask struct {
+// Ask is the question for tokens of the limit of a team.
+type Ask struct {
 	Number uint64  `cbor:"1,keyasint"`
 	Team   id.Team `cbor:"2,keyasint"`
+	Want   int     `cbor:"3,keyasint"` // tokens
+	// Lend tells that the question comes from another failure domain, whose tokens the answer must not wait for.
+	Lend bool `cbor:"4,keyasint,omitempty"`
 }
 
-// Grant is the answer to an ask.
+// Grant is the answer to an Ask.
 type Grant struct {
-	Number uint64        `cbor:"1,keyasint"`
-	OK     bool          `cbor:"2,keyasint,omitempty"`
-	Wait   time.Duration `cbor:"3,keyasint,omitempty"` // until another request is admitted, if not OK
+	Number   uint64        `cbor:"1,keyasint"`
+	Tokens   int           `cbor:"2,keyasint,omitempty"`
+	Wait     time.Duration `cbor:"3,keyasint,omitempty"` // until there is a token, if there is none
+	Counting bool          `cbor:"4,keyasint,omitempty"` // the VM counts the requests of the team
 }
 
-// Handlers take what arrives, on the goroutine of Run.
+// Handlers take what arrives, on the goroutine of Run. They must not block.
 type Handlers struct {
-	Hear  func(now time.Time, from string, st roster.Status)
-	Admit func(now time.Time, team id.Team) (wait time.Duration, ok bool)
+	Hear func(now time.Time, st *roster.Status)
+	// Asked answers a question, at once or later.
+	Asked func(now time.Time, ak Ask, reply Reply)
+}
+
+// Reply sends the answer to a question.
+type Reply struct {
+	conn   *Conn
+	to     netip.AddrPort
+	number uint64
+}
+
+// Send sends the answer.
+func (re Reply) Send(gr Grant) {
+	gr.Number = re.number
+	if err := re.conn.write(re.to, &message{Grant: &gr}); err != nil {
+		re.conn.log.Debug("answer not sent", "address", re.to.String(), "error", err.Error())
+	}
 }
 
 // Conn sends and receives messages on a UDP address. It is safe for concurrent use.
@@ -97,12 +117,9 @@
 func (cn *Conn) take(now time.Time, from netip.AddrPort, msg *message) {
 	switch {
 	case msg.Status != nil:
-		cn.hd.Hear(now, from.String(), *msg.Status)
+		cn.hd.Hear(now, msg.Status)
 	case msg.Ask != nil:
-		wait, ok := cn.hd.Admit(now, msg.Ask.Team)
-		if err := cn.write(from, &message{Grant: &Grant{msg.Ask.Number, ok, wait}}); err != nil {
-			cn.log.Debug("answer not sent", "address", from.String(), "error", err.Error())
-		}
+		cn.hd.Asked(now, *msg.Ask, Reply{cn, from, msg.Ask.Number})
 	case msg.Grant != nil:
 		cn.mu.Lock()
 		got := cn.waiting[msg.Grant.Number]
@@ -119,24 +136,41 @@
 	return cn.send(address, &message{Status: st})
 }
 
-// Ask asks the VM at an address whether a request of a team may be admitted.
-func (cn *Conn) Ask(address string, team id.Team, limit time.Duration) (Grant, error) {
-	number := cn.number.Add(1)
+// resendAfter is the time after which a question is sent once more, as datagrams may be lost. An answer from the same failure
+// domain takes a few milliseconds.
+const resendAfter = 60 * time.Millisecond
+
+// Ask asks the VM at an address for tokens.
+func (cn *Conn) Ask(address string, ak Ask, limit time.Duration) (Grant, error) {
+	ak.Number = cn.number.Add(1)
 	got := make(chan Grant, 1)
 	cn.mu.Lock()
-	cn.waiting[number] = got
+	cn.waiting[ak.Number] = got
 	cn.mu.Unlock()
-	if err := cn.send(address, &message{Ask: &ask{number, team}}); err != nil {
-		cn.forget(number)
+	defer cn.forget(ak.Number)
+	if err := cn.send(address, &message{Ask: &ak}); err != nil {
 		return Grant{}, err
 	}
-	tm := time.NewTimer(limit)
+	tm := time.NewTimer(min(resendAfter, limit))
 	defer tm.Stop()
 	select {
 	case gr := <-got:
 		return gr, nil
 	case <-tm.C:
-		cn.forget(number)
+	}
+	if limit <= resendAfter {
+		return Grant{}, ErrNoAnswer
+	}
+	if !ak.Lend {
+		if err := cn.send(address, &message{Ask: &ak}); err != nil {
+			return Grant{}, err
+		}
+	}
+	tm.Reset(limit - resendAfter)
+	select {
+	case gr := <-got:
+		return gr, nil
+	case <-tm.C:
 		return Grant{}, ErrNoAnswer
 	}
 }
