Send work twice only when its target is silent, and keep objects in their regions

Two causes: the time of work on unknown objects was learned from all targets that this VM itself had not used, which mostly knew the object, so the estimate was far too short; and work that was only slow counted as silent after 0.4 of its time, often with a second run of the same slow work. A VM also sent 4% of its requests to regions that don't know their objects, to follow its plan to six requests.

Work at the target to which all VMs send an object counts as known. A target counts as silent after 1.4 times the work on an unknown object and its expected wait, in time for another target that knows the object. A region may exceed its planned part by a tenth of a VM's recent requests before objects are moved.

--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -23,6 +23,9 @@
 	lesserPatience = 0.3
 	// idlePart is the part of its slots up to which a target gets work on objects that it does not know.
 	idlePart = 0.4
+	// unknownTimes and knownTimes are the multiples of the usual time of work that it rarely exceeds.
+	unknownTimes = 1.4
+	knownTimes   = 1.5
 	// leastAfter and mostAfter bound the time after which a refused caller is told to come back.
 	leastAfter = 100 * time.Millisecond
 	mostAfter  = 2 * time.Second
@@ -192,12 +195,13 @@
 	if !ok {
 		return Choice{}, &Refusal{Reason: NoTarget, After: noTargetAfter}
 	}
-	nd, wait := pc.cheapest(now, pl, pl.regions[region], ak, object)
-	if nd == nil {
+	of, ok := pc.cheapest(now, pl, pl.regions[region], ak, object)
+	nd, wait := of.node, of.wait
+	if !ok {
 		return Choice{}, &Refusal{Reason: NoTarget, After: noTargetAfter, Region: region}
 	}
 	ch := Choice{
-		Target: nd.Target, Wait: wait, InFlight: int(nd.inFlight(now)), Known: nd.seen.has(now, object), object: object,
+		Target: nd.Target, Wait: wait, Silence: silence(pl.service(ak), wait, ak.Left), InFlight: int(nd.inFlight(now)), Known: of.known, object: object,
 	}
 	if !worthWaiting(ak, wait) {
 		return Choice{}, &Refusal{Reason: Full, After: min(max(wait/2, leastAfter), mostAfter), Region: region, Best: ch}
@@ -210,6 +214,14 @@
 	return ch, nil
 }
 
+// silence returns the time after which a target without an answer counts as silent: longer than work on an object that it does
+// not know takes, but early enough for another target that knows the object. Work that only waits or takes long is not sent
+// twice, because a second run takes the room of another request.
+func silence(sv *service, wait, left time.Duration) time.Duration {
+	usual := wait + time.Duration(unknownTimes*float64(sv.unknown))
+	return max(min(usual, left-time.Duration(knownTimes*float64(sv.known))), left/3)
+}
+
 // worthWaiting reports whether a request should be sent although it waits at its target. The bound is the same for callers
 // of all regions, so that those with a longer way are not refused first.
 func worthWaiting(ak *Ask, wait time.Duration) bool {
@@ -231,7 +243,7 @@
 		return pc.op.Region, true
 	}
 	if pl.plan.weights != nil {
-		if name, ok := pl.plan.choose(object, usable); ok {
+		if name, ok := pl.plan.choose(object, ak.Object != "", usable); ok {
 			return name, true
 		}
 	}
@@ -260,15 +272,23 @@
 	return pc.warmups[nd.Pool].Rate * coldRateUsed / float64(min(coldOwners, max(len(pc.vms), 1)))
 }
 
-// cheapest returns the target that would finish the request first and the time for which it would wait there. Among targets
-// that do not know the object, only those with much room count: the work takes several times as long there, and spreading it
-// under load would keep all targets from knowing their objects.
-func (pc *Placer) cheapest(now time.Time, pl *pool, nodes []*node, ak *Ask, object uint64) (*node, time.Duration) {
+// offer is a target for a request.
+type offer struct {
+	node *node
+	// known tells that the target probably knows the object: it has handled it for this VM, or it is the one to which all VMs
+	// send it.
+	known bool
+	wait  time.Duration
+	cost  time.Duration
+}
+
+// cheapest returns the target that would finish the request first, and false if there is none. Among targets that do not know
+// the object, only those with much room count: the work takes several times as long there, and spreading it under load would
+// keep all targets from knowing their objects.
+func (pc *Placer) cheapest(now time.Time, pl *pool, nodes []*node, ak *Ask, object uint64) (best offer, ok bool) {
 	sv := pl.service(ak)
 	local := ak.Size >= largeBody
 	pc.ranks = ranked(nodes, object, pc.ranks)
-	var best *node
-	var bestCost, bestWait time.Duration
 	first := true
 	for _, rk := range pc.ranks {
 		nd := rk.node
@@ -278,22 +298,23 @@
 		if !pc.candidate(now, nd, ak) {
 			continue
 		}
-		wait := nd.wait(now, sv.known)
+		of := offer{node: nd, wait: nd.wait(now, sv.known)}
+		of.known = (steady || nd.seen.has(now, object)) && !now.Before(nd.coldUntil)
 		took := sv.unknown
-		if (steady || nd.seen.has(now, object)) && !now.Before(nd.coldUntil) {
+		if of.known {
 			took = sv.known
 		} else if !steady && nd.inFlight(now)+1 > idlePart*float64(nd.Slots) {
 			continue
 		}
-		cost := wait + took + time.Duration(nd.failureRate*float64(ak.Objective))
+		of.cost = of.wait + took + time.Duration(nd.failureRate*float64(ak.Objective))
 		if local && nd.FailureDomain != pc.op.FailureDomain {
-			cost += ak.Objective / 2
+			of.cost += ak.Objective / 2
 		}
-		if best == nil || cost < bestCost {
-			best, bestCost, bestWait = nd, cost, wait
+		if !ok || of.cost < best.cost {
+			best, ok = of, true
 		}
 	}
-	return best, bestWait
+	return best, ok
 }
 
 // logUnit returns the natural logarithm of a number between 0 and 1.
--- a/core/place/plan.go
+++ b/core/place/plan.go
@@ -19,14 +19,17 @@
 	capacityChange = 0.08
 	// idleTime is the time without requests after which a plan may change at once.
 	idleTime = 10 * time.Second
-	// mostCredit bounds how far the requests of a VM may deviate from its plan, in requests.
-	mostCredit = 6.0
+	// mostDeviation is the part of a VM's recent requests by which a region may get more than the plan says, and deviationWeight
+	// that of one request in it. Objects stay in their regions within it: work on an object that a target does not know takes
+	// several times as long.
+	mostDeviation   = 0.1
+	deviationWeight = 0.01
 )
 
 // plan divides the work of one region over the regions.
 type plan struct {
 	weights  map[id.Region]float64
-	credit   map[id.Region]float64
+	excess   map[id.Region]float64 // part of the recent requests that a region got beyond its weight
 	at       time.Time
 	capacity map[id.Region]float64 // at the last change that counts
 	changed  time.Time
@@ -80,7 +83,7 @@
 		pn.used = now
 	}
 	if pn.weights == nil || now.Sub(pn.used) > idleTime {
-		pn.weights, pn.credit, pn.at, pn.capacity = want, map[id.Region]float64{}, now, capacity
+		pn.weights, pn.excess, pn.at, pn.capacity = want, map[id.Region]float64{}, now, capacity
 		return
 	}
 	pn.noteCapacity(now, capacity)
@@ -139,9 +142,9 @@
 	return all
 }
 
-// choose picks the region of a request: the one that its object hashes to, unless the plan's shares would be missed by
-// more than mostCredit requests.
-func (pn *plan) choose(object uint64, usable func(id.Region) bool) (id.Region, bool) {
+// choose picks the region of a request: the one that its object hashes to, unless that one would get too much beyond the plan.
+// Requests without an object go where the plan is furthest behind.
+func (pn *plan) choose(object uint64, named bool, usable func(id.Region) bool) (id.Region, bool) {
 	var sum float64
 	names := make([]id.Region, 0, len(pn.weights))
 	for name, weight := range pn.weights {
@@ -156,20 +159,24 @@
 	var preferred, behind id.Region
 	best := -1.0
 	for _, name := range names {
-		weight := pn.weights[name] / sum
-		pn.credit[name] = min(pn.credit[name]+weight, mostCredit+1)
 		// Weighted rendezvous hashing: the object keeps its region while the weights stay.
 		unit := (float64(rendezvous.Mix(object^rendezvous.Hash(string(name)))>>11) + 0.5) / (1 << 53)
-		if score := weight / -logUnit(unit); score > best {
+		if score := pn.weights[name] / sum / -logUnit(unit); score > best {
 			best, preferred = score, name
 		}
-		if behind == "" || pn.credit[name] > pn.credit[behind] {
+		if behind == "" || pn.excess[name] < pn.excess[behind] {
 			behind = name
 		}
 	}
-	if pn.credit[preferred] < -mostCredit {
+	if !named || pn.excess[preferred] > mostDeviation {
 		preferred = behind
 	}
-	pn.credit[preferred]--
+	for _, name := range names {
+		got := 0.0
+		if name == preferred {
+			got = 1
+		}
+		pn.excess[name] += deviationWeight * (got - pn.weights[name]/sum - pn.excess[name])
+	}
 	return preferred, true
 }
--- a/core/place/target.go
+++ b/core/place/target.go
@@ -36,6 +36,7 @@
 type Choice struct {
 	Target
 	Wait     time.Duration // for which the request is expected to wait there
+	Silence  time.Duration // without an answer, after which the target counts as silent
 	InFlight int           // requests that are taken to be there already
 	Known    bool          // it knows the object of the request
 	object   uint64
--- a/io/gateway/forward.go
+++ b/io/gateway/forward.go
@@ -22,9 +22,6 @@
 	bufferedAnswer = 64 << 10
 	// unreachedAttempts bounds the targets that are tried without a connection.
 	unreachedAttempts = 3
-	// silentPart is the part of the time left after which idempotent work is also sent to a second target, if the first
-	// has not answered.
-	silentPart = 0.4
 )
 
 // errForeign is the cause of a response that was thrown away.
@@ -81,8 +78,7 @@
 	ctx, cancel := context.WithCancel(rq.ctx)
 	rc.cancel = append(rc.cancel, cancel)
 	go rc.run(ctx, &ch)
-	left := time.Until(rq.started.Add(rq.limit()))
-	tm := time.NewTimer(time.Duration(silentPart * float64(left)))
+	tm := time.NewTimer(ch.Silence)
 	defer tm.Stop()
 	select {
 	case oc := <-rc.done:
