End responses without end, and count them against their target

Bytes without end in a head were bounded already (64 KiB); a failure without a target's signature that exceeds what is buffered is now closed instead of being passed on until the deadline, and a response that is passed on while it arrives ends its attempt only with its last byte, so that a target that breaks it off or never ends counts as broken rather than as successful.

--- a/io/gateway/forward.go
+++ b/io/gateway/forward.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -185,18 +186,63 @@
 	} else {
 		oc = rq.read(ctx, lk, resp)
 	}
+	done := &attemptEnd{rq: rq, ch: *ch, latency: time.Since(sent), load: oc.answer.Load}
 	if oc.rest == nil {
 		cancel()
+		done.report(oc.kind)
 	} else {
-		oc.rest = &canceling{oc.rest, cancel}
+		oc.rest = &streaming{ReadCloser: oc.rest, ctx: ctx, cancel: cancel, end: done, kind: oc.kind}
 	}
-	rq.sv.op.Placer.Done(time.Now(), ch, rq.route.Name, place.Result{
-		Kind: oc.kind, Latency: time.Since(sent), Load: oc.answer.Load,
-	})
-	rq.sv.op.Metrics.attempt(oc.kind)
 	return oc
 }
 
+// attemptEnd tells the placer once how an attempt ended.
+type attemptEnd struct {
+	rq      *request
+	ch      place.Choice
+	latency time.Duration
+	load    *place.Load
+	once    sync.Once
+}
+
+func (ae *attemptEnd) report(kind place.ResultKind) {
+	ae.once.Do(func() {
+		ae.rq.sv.op.Placer.Done(time.Now(), &ae.ch, ae.rq.route.Name, place.Result{Kind: kind, Latency: ae.latency, Load: ae.load})
+		ae.rq.sv.op.Metrics.attempt(kind)
+	})
+}
+
+// streaming is the rest of a response that is passed on while it arrives. The attempt ends with it: a target that breaks it off,
+// or sends without end, has failed.
+type streaming struct {
+	io.ReadCloser
+	ctx    context.Context
+	cancel func()
+	end    *attemptEnd
+	kind   place.ResultKind
+}
+
+// Read implements io.Reader.
+func (st *streaming) Read(buf []byte) (int, error) {
+	num, err := st.ReadCloser.Read(buf)
+	switch {
+	case err == nil || errors.Is(err, io.EOF):
+	case errors.Is(st.ctx.Err(), context.Canceled):
+		st.kind = place.Dropped
+	default:
+		st.kind = place.Broken
+	}
+	return num, err
+}
+
+// Close implements io.Closer.
+func (st *streaming) Close() error {
+	err := st.ReadCloser.Close()
+	st.cancel()
+	st.end.report(st.kind)
+	return err
+}
+
 // canceling ends the exchange when the body is closed.
 type canceling struct {
 	io.ReadCloser
@@ -280,6 +326,11 @@
 			oc.kind = place.Dropped
 		}
 		return oc
+	case len(body) > bufferedAnswer && !oc.answer.Genuine:
+		// A failure that no target signed may be bytes without end.
+		resp.Body.Close()
+		oc.resp, oc.kind, oc.refusal, oc.cause = nil, place.Broken, refusal{reason: reasonLost}, errForeign
+		return oc
 	case len(body) > bufferedAnswer:
 		oc.rest = resp.Body
 	default:
