Tell known and unknown work apart by its time, and let large bodies leave a full region

When a fleet starts, every target is the one that is to know an object and knows nothing, so the first work was learned as the time of known work, which then looked no better than idle targets that don't know the object. The time itself now tells which kind of work it was. A target counts as silent a little later, since half of the work on unknown objects was sent twice. Requests with large bodies, which always stayed in the region, follow the plan when it is full: south refused a seventh of the uploads while others had room.

--- a/core/place/health.go
+++ b/core/place/health.go
@@ -32,7 +32,7 @@
 	}
 	switch rs.Kind {
 	case Succeeded:
-		pc.succeeded(nd, ch, route, rs)
+		pc.succeeded(nd, route, rs)
 	case Failed:
 		nd.failures, nd.trial = 0, false
 		nd.failureRate += failureWeight * (1 - nd.failureRate)
@@ -55,21 +55,27 @@
 	}
 }
 
-func (pc *Placer) succeeded(nd *node, ch *Choice, route id.Route, rs Result) {
+func (pc *Placer) succeeded(nd *node, route id.Route, rs Result) {
 	nd.failures, nd.trial = 0, false
 	nd.failureRate -= failureWeight * nd.failureRate
 	sv := pc.pool(nd.Pool).services[route]
 	if sv == nil || rs.Load != nil && rs.Load.Waiting > 0 {
 		return
 	}
-	mean := &sv.unknown
-	if ch.Known {
-		mean = &sv.known
-	}
-	*mean += time.Duration(serviceWeight * float64(rs.Latency-*mean))
+	sv.learn(rs.Latency)
 	sv.mean += time.Duration(serviceWeight * float64(rs.Latency-sv.mean))
 }
 
+// learn takes the time of one piece of work. Whether the target knew the object shows in the time: a VM does not see what the
+// others sent there, and a target that all of them use knows nothing at first.
+func (sv *service) learn(took time.Duration) {
+	mean := &sv.known
+	if took > (sv.known+sv.unknown)/2 {
+		mean = &sv.unknown
+	}
+	*mean += time.Duration(serviceWeight * float64(took-*mean))
+}
+
 func (nd *node) eject(now time.Time) {
 	nd.failures++
 	pause := min(leastEjection<<min(nd.failures, 5), mostEjection)
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -312,3 +312,84 @@
 		t.Errorf("%.3f of the requests are answered in time, at least 0.7 are expected at 70%% load", part)
 	}
 }
+
+// finish ends attempts after a while.
+func finish(pc *place.Placer, at time.Time, ch place.Choice, took time.Duration) {
+	pc.Done(at, &ch, "read", place.Result{Kind: place.Succeeded, Latency: took})
+}
+
+// Guards against estimates that take the first work on each object for work on known ones: when a fleet starts, they would make
+// idle targets look as good as the one that is to know the object, and scatter objects over all targets.
+func TestFirstWorkDoesNotScatterObjects(t *testing.T) {
+	Convey("a VM whose first requests all meet targets that know nothing", t, func() {
+		pc := newPlacer("a")
+		pc.SetTargets(start, targets(8, "north"))
+		now := start
+		const slow = 600 * time.Millisecond // more than is assumed at first
+		first := map[string]id.Target{}
+		for nr := range 60 {
+			ch, rf := pc.Pick(now, ask(fmt.Sprint(nr)))
+			So(rf, ShouldBeNil)
+			first[fmt.Sprint(nr)] = ch.ID
+			now = now.Add(slow)
+			finish(pc, now, ch, slow)
+		}
+		now = now.Add(20 * time.Second) // what this VM has sent is forgotten
+		for object, tg := range first {
+			ch, rf := pc.Pick(now, ask(object))
+			So(rf, ShouldBeNil)
+			So(ch.ID, ShouldEqual, tg)
+			finish(pc, now, ch, knownWork)
+		}
+	})
+}
+
+// Work that is only slow must not be sent to a second target, whose room it would take from another request; a target that is
+// silent must be noticed in time for another one to answer.
+func TestSilence(t *testing.T) {
+	Convey("a choice of a VM that has seen both kinds of work", t, func() {
+		pc := newPlacer("a")
+		pc.SetTargets(start, targets(8, "north"))
+		now := start
+		for nr := range 40 {
+			ch, rf := pc.Pick(now, ask(fmt.Sprint(nr%8)))
+			So(rf, ShouldBeNil)
+			took := knownWork
+			if nr%2 == 0 {
+				took = unknownWork
+			}
+			now = now.Add(took)
+			finish(pc, now, ch, took)
+		}
+		ch, rf := pc.Pick(now, ask("x"))
+		So(rf, ShouldBeNil)
+		So(ch.Silence, ShouldBeGreaterThan, unknownWork)
+		So(ch.Silence, ShouldBeLessThan, ask("x").Left-knownWork)
+	})
+}
+
+// Large bodies stay in their region because of their bytes, but a region without room must not refuse what others can do.
+func TestLargeBodiesLeaveFullRegion(t *testing.T) {
+	Convey("a region whose targets are busy, beside an idle one", t, func() {
+		pc := newPlacer("a")
+		pc.SetTargets(start, append(targets(1, "north"), targets(8, "south")...))
+		now := start
+		for range 20 {
+			pc.Plan(now, map[id.Pool]map[id.Region]float64{"desk": {"north": 30, "south": 1}})
+			now = now.Add(time.Second)
+		}
+		large := func(object string) *place.Ask {
+			ak := ask(object)
+			ak.Size = 1 << 20
+			return ak
+		}
+		placed := map[id.Region]int{}
+		for nr := range 30 {
+			if ch, rf := pc.Pick(now, large(fmt.Sprint(nr))); rf == nil {
+				placed[ch.Region]++
+			}
+		}
+		So(placed["north"], ShouldBeGreaterThan, 0)
+		So(placed["south"], ShouldBeGreaterThan, 15)
+	})
+}
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -23,9 +23,8 @@
 	lesserPatience = 0.3
 	// idlePart is the part of its slots up to which a target gets work on objects that it does not know.
 	idlePart = 0.4
-	// unknownTimes and knownTimes are the multiples of the usual time of work that it rarely exceeds.
-	unknownTimes = 1.4
-	knownTimes   = 1.5
+	// unknownTimes is the multiple of the usual time of work on unknown objects that it rarely exceeds.
+	unknownTimes = 1.6
 	// leastAfter and mostAfter bound the time after which a refused caller is told to come back.
 	leastAfter = 100 * time.Millisecond
 	mostAfter  = 2 * time.Second
@@ -191,10 +190,21 @@
 	defer pc.mu.Unlock()
 	pl := pc.pool(ak.Pool)
 	object := rendezvous.Hash(string(ak.Route), ak.Object)
+	if ak.Size >= largeBody && pc.usableRegion(now, pl, ak, pc.op.Region) {
+		// Large bodies leave the region only if it is full, because of their bytes.
+		if ch, rf := pc.pickIn(now, pl, ak, object, pc.op.Region); rf == nil {
+			return ch, nil
+		}
+	}
 	region, ok := pc.region(now, pl, ak, object)
 	if !ok {
 		return Choice{}, &Refusal{Reason: NoTarget, After: noTargetAfter}
 	}
+	return pc.pickIn(now, pl, ak, object, region)
+}
+
+// pickIn chooses a target of a region.
+func (pc *Placer) pickIn(now time.Time, pl *pool, ak *Ask, object uint64, region id.Region) (Choice, *Refusal) {
 	of, ok := pc.cheapest(now, pl, pl.regions[region], ak, object)
 	nd, wait := of.node, of.wait
 	if !ok {
@@ -219,7 +229,7 @@
 // twice, because a second run takes the room of another request.
 func silence(sv *service, wait, left time.Duration) time.Duration {
 	usual := wait + time.Duration(unknownTimes*float64(sv.unknown))
-	return max(min(usual, left-time.Duration(knownTimes*float64(sv.known))), left/3)
+	return max(min(usual, left-sv.known), left/3)
 }
 
 // worthWaiting reports whether a request should be sent although it waits at its target. The bound is the same for callers
@@ -233,15 +243,7 @@
 }
 
 func (pc *Placer) region(now time.Time, pl *pool, ak *Ask, object uint64) (id.Region, bool) {
-	usable := func(name id.Region) bool {
-		if ak.Allowed != nil && !ak.Allowed(name) {
-			return false
-		}
-		return slices.ContainsFunc(pl.regions[name], func(nd *node) bool { return pc.candidate(now, nd, ak) })
-	}
-	if ak.Size >= largeBody && usable(pc.op.Region) {
-		return pc.op.Region, true
-	}
+	usable := func(name id.Region) bool { return pc.usableRegion(now, pl, ak, name) }
 	if pl.plan.weights != nil {
 		if name, ok := pl.plan.choose(object, ak.Object != "", usable); ok {
 			return name, true
@@ -258,6 +260,13 @@
 	return "", false
 }
 
+func (pc *Placer) usableRegion(now time.Time, pl *pool, ak *Ask, name id.Region) bool {
+	if ak.Allowed != nil && !ak.Allowed(name) {
+		return false
+	}
+	return slices.ContainsFunc(pl.regions[name], func(nd *node) bool { return pc.candidate(now, nd, ak) })
+}
+
 func (pc *Placer) candidate(now time.Time, nd *node, ak *Ask) bool {
 	if !nd.usable(now) || slices.Contains(ak.Tried, nd.ID) {
 		return false
