--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -67,6 +67,7 @@
 	byKey     map[Key]*Member
 	summaries map[id.FailureDomain]map[id.VM]held
 	loads     map[uint32]uint16 // heard since the last summary
+	leaving   bool
 	// touched is the time since which this VM would have seen signs of life of others.
 	touched time.Time
 }
@@ -93,8 +94,11 @@
 		switch {
 		case mb == nil || pr.Incarnation > mb.Incarnation:
 			rs.put(&Member{Peer: pr, Shown: now, Known: now}) // what an earlier process said no longer holds
-		case pr.Incarnation == mb.Incarnation && pr.Beat > mb.Beat:
-			mb.Beat, mb.Shown, mb.beats = pr.Beat, now, true
+		case pr.Incarnation == mb.Incarnation:
+			if pr.Beat > mb.Beat {
+				mb.Shown, mb.beats = now, true
+			}
+			mb.Peer = pr // the process may have been heard at the addresses of the one before
 		}
 	}
 	for name, mb := range rs.members {
@@ -355,8 +359,15 @@
 	}
 }
 
+// Leave tells that this VM shuts down. Another one counts in its place.
+func (rs *Roster) Leave() {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	rs.leaving = true
+}
+
 // Counter returns the VM that counts the requests of a team in a failure domain, and whether it is alive. A silent VM keeps the
-// right to count for ForgetAfter.
+// right to count for ForgetAfter; one that shuts down gives it up.
 func (rs *Roster) Counter(now time.Time, fd id.FailureDomain, team id.Team) (counter Peer, alive bool) {
 	rs.mu.RLock()
 	defer rs.mu.RUnlock()
@@ -371,11 +382,11 @@
 			counter, alive, most = pr, up, weight
 		}
 	}
-	if fd == rs.self.FailureDomain {
+	if fd == rs.self.FailureDomain && !rs.leaving {
 		consider(rs.self, true)
 	}
 	for _, mb := range rs.members {
-		if mb.FailureDomain == fd && !mb.forgotten {
+		if mb.FailureDomain == fd && !mb.forgotten && !mb.State.Has(Leaving) {
 			consider(mb.Peer, mb.Alive(now))
 		}
 	}
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -85,6 +85,25 @@
 			So(rs.Hear(now, status(first.VM, 2, 1)), ShouldBeTrue)
 			So(rs.Hear(now, status(first.VM, 1, 9)), ShouldBeFalse)
 		})
+		Convey("gives the right to another one when a VM shuts down", func() {
+			st := status(first.VM, 1, 2)
+			st.Report.State = roster.Leaving
+			rs.Hear(now, st)
+			pr, _ := rs.Counter(now, "x", team)
+			So(pr.VM, ShouldNotEqual, first.VM)
+			rs.Leave()
+			pr, _ = rs.Counter(now, "x", team)
+			So(pr.VM, ShouldNotEqual, id.VM("a"))
+		})
+		Convey("uses the addresses of the newest registration of a process that was heard before it", func() {
+			So(rs.Hear(now, status(first.VM, 2, 1)), ShouldBeTrue)
+			for at := range peers {
+				peers[at].Incarnation, peers[at].StatusAddress = 2, "10.0.0.9:1"
+			}
+			rs.SetPeers(now, peers)
+			pr, _ := rs.Counter(now, "x", team)
+			So(pr.StatusAddress, ShouldEqual, "10.0.0.9:1")
+		})
 		Convey("does not know a VM that is not registered", func() {
 			So(rs.Hear(now, status("stranger", 1, 1)), ShouldBeFalse)
 		})
--- a/io/gateway/control.go
+++ b/io/gateway/control.go
@@ -159,7 +159,10 @@
 func (ct *Control) Ready() bool { return ct.ready.Load() && !ct.leaving.Load() && ct.Lease.Held() }
 
 // Leave takes the VM out of use.
-func (ct *Control) Leave() { ct.leaving.Store(true) }
+func (ct *Control) Leave() {
+	ct.leaving.Store(true)
+	ct.Roster.Leave()
+}
 
 func (ct *Control) loop(ctx context.Context) {
 	tk := time.NewTicker(tick)
--- a/io/gateway/limiter.go
+++ b/io/gateway/limiter.go
@@ -17,6 +17,8 @@
 	// nearLimit and farLimit bound a question for a loan in the own region and in another one.
 	nearLimit = 40 * time.Millisecond
 	farLimit  = 180 * time.Millisecond
+	// silentTime is the time for which a VM that did not answer is not asked again. Its end shows only after a while.
+	silentTime = time.Second
 	// dryTime is the time for which no loan is asked for after nobody had a token to lend.
 	dryTime = 250 * time.Millisecond
 	// farLenders bounds the failure domains of other regions that are asked at the same time.
@@ -34,6 +36,7 @@
 
 	mu     sync.Mutex
 	rounds map[id.Team]*round
+	silent map[id.VM]time.Time // until when a VM is not asked
 }
 
 // domain is a failure domain.
@@ -50,7 +53,7 @@
 
 // NewLimiter returns a limiter for a VM. The regions are those of all failure domains.
 func NewLimiter(self roster.Peer, lg *allot.Ledger, rs *roster.Roster, regions map[id.FailureDomain]id.Region) *Limiter {
-	lm := &Limiter{self: self, ledger: lg, roster: rs, rounds: map[id.Team]*round{}}
+	lm := &Limiter{self: self, ledger: lg, roster: rs, rounds: map[id.Team]*round{}, silent: map[id.VM]time.Time{}}
 	for name, rg := range regions {
 		if name != self.FailureDomain {
 			lm.domains = append(lm.domains, domain{name, rg == self.Region})
@@ -83,13 +86,28 @@
 // askCounter asks the VM that counts the requests of a team in this failure domain. It reports false if that one can't be asked.
 func (lm *Limiter) askCounter(now time.Time, team id.Team) (status.Grant, bool) {
 	pr, alive := lm.roster.Counter(now, lm.self.FailureDomain, team)
-	if !alive || pr.VM == lm.self.VM {
+	if !alive || pr.VM == lm.self.VM || lm.isSilent(now, pr.VM) {
 		return status.Grant{}, false
 	}
 	gr, err := lm.ask(pr.StatusAddress, status.Ask{Team: team, Want: lm.ledger.Wanted(now, team)}, counterLimit)
+	if err != nil {
+		lm.noteSilent(pr.VM)
+	}
 	return gr, err == nil && gr.Counting
 }
 
+func (lm *Limiter) isSilent(now time.Time, vm id.VM) bool {
+	lm.mu.Lock()
+	defer lm.mu.Unlock()
+	return now.Before(lm.silent[vm])
+}
+
+func (lm *Limiter) noteSilent(vm id.VM) {
+	lm.mu.Lock()
+	defer lm.mu.Unlock()
+	lm.silent[vm] = time.Now().Add(silentTime)
+}
+
 // Asked answers the question of another VM.
 func (lm *Limiter) Asked(now time.Time, ak status.Ask, reply status.Reply) {
 	gr := lm.lend(now, ak)
