End connections that were never used when a VM shuts down

Found by TestEndlessBytes under the race detector (twice of 14): the gateway was not stopped in good order. net/http waits 5 s for a connection on which nothing has arrived; callers that open several connections at once leave such ones. Nothing was read from these connections, so callers may use another VM.

--- a/io/gateway/daemon.go
+++ b/io/gateway/daemon.go
@@ -227,6 +227,9 @@
 func (rn *running) listen(ctx context.Context) error {
 	lc, gs := rn.lc, rn.lc.Settings
 	rn.callers = lc.Server.HTTPServer()
+	unused := &unusedConns{}
+	rn.callers.ConnState = unused.note
+	rn.callers.RegisterOnShutdown(unused.close)
 	byAddress := map[string]*mux.Router{}
 	route := func(address string) *mux.Router {
 		if byAddress[address] == nil {
