--- /dev/null
+++ b/core/roster/summary.go
@@ -0,0 +1,132 @@
+package roster
+
+import (
+	"cmp"
+	"math"
+	"time"
+
+	"damasklatch/core/id"
+)
+
+// held is a summary that was heard from a speaker.
+type held struct {
+	sm Summary
+	at time.Time // when it was made
+}
+
+func (rs *Roster) take(now time.Time, speaker id.VM, sm Summary) {
+	made := now.Add(-max(sm.Age, 0))
+	if rs.summaries[sm.FailureDomain] == nil {
+		rs.summaries[sm.FailureDomain] = map[id.VM]held{}
+	}
+	if made.After(rs.summaries[sm.FailureDomain][speaker].at) {
+		rs.summaries[sm.FailureDomain][speaker] = held{sm, made}
+	}
+	for _, sg := range sm.Signs {
+		mb := rs.byKey[sg.Key]
+		if mb == nil || mb.FailureDomain != sm.FailureDomain {
+			continue
+		}
+		if at := made.Add(-time.Duration(sg.Age) * time.Millisecond); at.After(mb.Heard) {
+			mb.Heard, mb.State = at, sg.State
+		}
+	}
+}
+
+// Note adds loads that this VM has seen itself to its next summary.
+func (rs *Roster) Note(loads []Load) {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	merge(rs.loads, loads)
+}
+
+// Work returns the busy slots that the demand of other VMs needs, by region and pool. The work of the own failure domain is that
+// of other VMs only if this VM is a speaker; else own is true and it includes this VM's.
+func (rs *Roster) Work(now time.Time, regionOf map[id.FailureDomain]id.Region) (work map[id.Region]map[id.Pool]float64, own bool) {
+	rs.mu.RLock()
+	defer rs.mu.RUnlock()
+	work = map[id.Region]map[id.Pool]float64{}
+	add := func(rg id.Region, more map[id.Pool]float32) {
+		if work[rg] == nil {
+			work[rg] = map[id.Pool]float64{}
+		}
+		for pl, slots := range more {
+			work[rg][pl] += float64(slots)
+		}
+	}
+	for fd, all := range rs.summaries {
+		best, ok := fullest(now, all)
+		if !ok || fd == rs.self.FailureDomain && rs.speaks(now) {
+			continue
+		}
+		own = own || fd == rs.self.FailureDomain
+		add(regionOf[fd], best.sm.Work)
+	}
+	if own {
+		return work, true
+	}
+	for _, mb := range rs.members {
+		if mb.FailureDomain == rs.self.FailureDomain && mb.Near(now) {
+			add(mb.Region, mb.Direct.Work)
+		}
+	}
+	return work, false
+}
+
+// fullest returns the recent summary with the most VMs.
+func fullest(now time.Time, all map[id.VM]held) (held, bool) {
+	var best held
+	var from id.VM
+	for name, hd := range all {
+		if now.Sub(hd.at) >= summaryFor {
+			continue
+		}
+		more := cmp.Or(cmp.Compare(len(hd.sm.Signs), len(best.sm.Signs)), cmp.Compare(from, name))
+		if best.at.IsZero() || more > 0 {
+			best, from = hd, name
+		}
+	}
+	return best, !best.at.IsZero()
+}
+
+// Summary sums up what was heard from the VMs of the failure domain, with this VM's own report.
+func (rs *Roster) Summary(now time.Time, own *Report) Summary {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	sm := Summary{FailureDomain: rs.self.FailureDomain, Work: map[id.Pool]float32{}}
+	sm.Signs = append(sm.Signs, Sign{Key: KeyOf(rs.self.VM, rs.self.Incarnation), State: own.State})
+	add := func(work map[id.Pool]float32) {
+		for pl, slots := range work {
+			sm.Work[pl] += slots
+		}
+	}
+	add(own.Work)
+	for _, mb := range rs.members {
+		if mb.FailureDomain != rs.self.FailureDomain || !mb.Near(now) {
+			continue
+		}
+		age := min(now.Sub(mb.DirectAt).Milliseconds(), math.MaxUint16)
+		sm.Signs = append(sm.Signs, Sign{Key: KeyOf(mb.VM, mb.Incarnation), State: mb.State, Age: uint16(age)})
+		add(mb.Direct.Work)
+	}
+	sm.Loads = listOf(rs.loads)
+	clear(rs.loads)
+	return sm
+}
+
+// Summaries returns the newest summaries of the other failure domains.
+func (rs *Roster) Summaries(now time.Time) []Summary {
+	rs.mu.RLock()
+	defer rs.mu.RUnlock()
+	var list []Summary
+	for fd, all := range rs.summaries {
+		if fd == rs.self.FailureDomain {
+			continue
+		}
+		if hd, ok := fullest(now, all); ok {
+			hd.sm.Age = now.Sub(hd.at)
+			list = append(list, hd.sm)
+		}
+	}
+	return list
+}
