VMs that others read for wait patiently in an outage of the store

While the store or the readers can't be asked, each VM asked it for four kinds of objects every 0.6 s, and one whose lease was old asked for all kinds, though only the configuration is evidence. Now a VM that others hear pauses up to 2 s after failures and is woken when it has a source again; only the question for the configuration goes past the source.

--- a/io/gateway/control.go
+++ b/io/gateway/control.go
@@ -134,14 +134,14 @@
 		listed: map[objects.Kind]bool{}, quick: map[objects.Kind]*atomic.Bool{},
 	}
 	ct.mirror = objects.NewMirror(ct.serves)
-	from := objects.NewRelayed(pt.Store, ct.relay, seedsOf(pt.Settings), pt.Log)
-	from.Hold(now.Add(sourceTime))
 	ks := pt.Adapter.Kinds()
 	for _, kind := range []objects.Kind{ks.Config, ks.Targets, ks.Evacuations, ks.VMs} {
 		ct.quick[kind], ct.progress[kind] = new(atomic.Bool), &progress{}
 		src := &source{ct: ct, kind: kind}
+		from := objects.NewRelayed(pt.Store, src.relay, seedsOf(pt.Settings), pt.Log)
+		from.Hold(now.Add(sourceTime))
 		ct.informers[kind] = objects.New(objects.Options{
-			Store: from, Kind: kind, Clock: pt.Lease.Now, Log: pt.Log, Wait: src.wait, Poll: src.poll, Apply: src.apply,
+			Store: from, Kind: kind, Clock: pt.Lease.Now, Log: pt.Log, Wait: src.wait, Poll: src.poll, Patient: ct.patient, Apply: src.apply,
 		})
 	}
 	return ct
--- a/io/gateway/follow.go
+++ b/io/gateway/follow.go
@@ -48,15 +48,22 @@
 // serves reports whether other VMs may read what this one knows of the store.
 func (ct *Control) serves() bool { return ct.sinceAnswer() < readEvery+relayFor || ct.relays() }
 
-// relay returns the VM that is followed in place of the store.
-func (ct *Control) relay() (string, bool) {
+// relay returns the VM that is followed in place of the store. Evidence for an old lease comes from the store only.
+func (sr *source) relay() (string, bool) {
+	ct := sr.ct
 	address := ct.source.Load()
-	if ct.reader.Load() || ct.wantRead.Load() || address == nil {
+	evidence := sr.kind == ct.Adapter.Kinds().Config && ct.wantRead.Load()
+	if ct.reader.Load() || evidence || address == nil {
 		return "", false
 	}
 	return *address, true
 }
 
+// patient reports whether others read the store for this VM, which follows them as soon as they can.
+func (ct *Control) patient() bool {
+	return !ct.reader.Load() && ct.Roster.Heard(time.Now(), roster.AliveFor)
+}
+
 func (sr *source) wait() time.Duration {
 	if sr.ct.quick[sr.kind].Swap(false) {
 		return time.Millisecond
@@ -139,7 +146,7 @@
 func (ct *Control) follow(address *string, firstHand bool) {
 	ct.firstHand.Store(firstHand)
 	before := ct.source.Swap(address)
-	if before == nil || address != nil && *before == *address {
+	if before == nil && address == nil || before != nil && address != nil && *before == *address {
 		return
 	}
 	for _, in := range ct.informers {
--- a/io/objects/informer.go
+++ b/io/objects/informer.go
@@ -18,7 +18,10 @@
 	watchGrace = 800 * time.Millisecond
 	listLimit  = 1500 * time.Millisecond
 	leastPause = 50 * time.Millisecond
-	mostPause  = 600 * time.Millisecond
+	// mostPause is the longest pause after failures of a VM that others follow, and patientPause that of the rest, who are told
+	// when it is over.
+	mostPause    = 600 * time.Millisecond
+	patientPause = 2 * time.Second
 	// settleTime collects changes that come in quick succession into one call.
 	settleTime = 350 * time.Millisecond
 )
@@ -45,6 +48,8 @@
 	Wait func() time.Duration
 	// Poll reports whether the list is read again and again in place of a watch, and how often. May be nil.
 	Poll func() (every time.Duration, ok bool)
+	// Patient reports whether this VM will be told when the store can be asked again, by a Kick. May be nil.
+	Patient func() bool
 	// Apply is called with each response of the store. The objects must not be changed.
 	Apply func(sn Snapshot, changed bool)
 }
@@ -202,8 +207,16 @@
 		in.op.Log.Warn("store can't be asked", "kind", string(in.op.Kind), "error", err.Error())
 	}
 	in.failures++
-	pause := min(leastPause<<min(in.failures, 5), mostPause)
-	sleep(ctx, pause/2+rand.N(pause))
+	most := mostPause
+	if in.op.Patient != nil && in.op.Patient() {
+		most = patientPause
+	}
+	pause := min(leastPause<<min(in.failures, 6), most)
+	wctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	in.setCancel(cancel)
+	defer in.setCancel(nil)
+	sleep(wctx, pause/2+rand.N(pause))
 }
 
 func (in *Informer) recovered() {
--- a/io/objects/objects_test.go
+++ b/io/objects/objects_test.go
@@ -218,3 +218,32 @@
 		}
 	})
 }
+
+// An outage of the store must not make every VM of a large fleet call it again and again, nor delay those that wait once it is over.
+func TestPatientInformer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fs, rc := &fakeStore{names: []string{"a"}, rev: 5}, &record{}
+		in := objects.New(objects.Options{
+			Store: fs, Kind: "targets", Clock: func() lease.Instant { return lease.Instant(time.Now().UnixNano()) },
+			Log: slog.New(slog.DiscardHandler), Wait: func() time.Duration { return 10 * time.Second }, Apply: rc.apply,
+			Patient: func() bool { return true },
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go in.Run(ctx)
+		synctest.Wait()
+		fs.set(func() { fs.err, fs.watches = fmt.Errorf("down"), 0 })
+		in.Kick()
+		const outage = 30 * time.Second
+		time.Sleep(outage)
+		fs.set(func() {
+			if most := int(outage/time.Second) + 8; fs.watches > most {
+				t.Errorf("%d calls in an outage of %s, at most %d are expected", fs.watches, outage, most)
+			}
+			fs.err, fs.rev, fs.changes = nil, 6, []objects.Change{{Object: objects.Object{Name: "a"}, Removed: true}}
+		})
+		in.Kick()
+		time.Sleep(10 * time.Millisecond)
+		expect(t, "followed at once after the outage", rc.names(), "0")
+	})
+}
