--- a/core/allot/model_test.go
+++ b/core/allot/model_test.go
@@ -244,20 +244,30 @@
 		own = []roster.Summary{mc.roster.Summary(fl.now, &st.Report)}
 		all = append(mc.roster.Summaries(fl.now), own...)
 	}
+	members := mc.roster.Members()
+	direct := make(map[id.VM]*roster.Report, len(members))
+	for nr := range members {
+		if members[nr].Near(fl.now) {
+			direct[members[nr].VM] = &members[nr].Direct
+		}
+	}
 	sent := map[id.VM]bool{mc.name: true}
 	send := func(to id.VM, summaries []roster.Summary) {
-		if !sent[to] {
-			sent[to] = true
-			st.Summaries = summaries
-			mc.send(to, st)
+		if sent[to] {
+			return
 		}
+		sent[to] = true
+		st.Summaries, st.Report.Echo, st.Report.EchoOf = summaries, 0, 0
+		if rp := direct[to]; rp != nil {
+			st.Report.Echo, st.Report.EchoOf = rp.Sent, rp.Incarnation
+		}
+		mc.send(to, st)
 	}
 	for _, pr := range mc.roster.Speakers(fl.now, mc.domain) {
 		send(pr.VM, nil)
 	}
-	members := mc.roster.Members()
 	for nr := range members {
-		if members[nr].FailureDomain == mc.domain && members[nr].Near(fl.now) {
+		if members[nr].FailureDomain == mc.domain && direct[members[nr].VM] != nil {
 			send(members[nr].VM, all)
 		}
 	}
@@ -288,11 +298,6 @@
 		if !mc.reaches(ot) || fl.rng.IntN(20) == 0 {
 			return
 		}
-		for _, mb := range mc.roster.Members() {
-			if mb.VM == to && mb.Near(fl.now) {
-				st.Report.Echo, st.Report.EchoOf = mb.Direct.Sent, mb.Direct.Incarnation
-			}
-		}
 		delay := time.Duration(fl.rng.IntN(120)) * time.Millisecond
 		ot.inbox = append(ot.inbox, letter{fl.now.Add(delay), st})
 	}
