--- a/core/roster/message.go
+++ b/core/roster/message.go
@@ -69,8 +69,8 @@
 	Changes map[string]int64 `cbor:"11,keyasint,omitempty"`
 }
 
-// Sign is the last sign of life of a VM.
-type Sign struct {
+// Liveness is the last sign of life of a process of a VM.
+type Liveness struct {
 	_     struct{} `cbor:",toarray"`
 	Key   Key
 	State State
@@ -80,7 +80,7 @@
 // Summary is what a speaker heard from the VMs of its failure domain, itself included.
 type Summary struct {
 	FailureDomain id.FailureDomain    `cbor:"1,keyasint"`
-	Signs         []Sign              `cbor:"2,keyasint"`
+	Members       []Liveness          `cbor:"2,keyasint"`
 	Work          map[id.Pool]float32 `cbor:"3,keyasint,omitempty"` // the sum
 	Loads         []Load              `cbor:"4,keyasint,omitempty"`
 	Age           time.Duration       `cbor:"5,keyasint,omitempty"` // since it was made
--- a/core/roster/summary.go
+++ b/core/roster/summary.go
@@ -22,13 +22,13 @@
 	if made.After(rs.summaries[sm.FailureDomain][speaker].at) {
 		rs.summaries[sm.FailureDomain][speaker] = held{sm, made}
 	}
-	for _, sg := range sm.Signs {
-		mb := rs.byKey[sg.Key]
+	for _, lv := range sm.Members {
+		mb := rs.byKey[lv.Key]
 		if mb == nil || mb.FailureDomain != sm.FailureDomain {
 			continue
 		}
-		if at := made.Add(-time.Duration(sg.Age) * time.Millisecond); at.After(mb.Heard) {
-			mb.Heard, mb.State = at, sg.State
+		if at := made.Add(-time.Duration(lv.Age) * time.Millisecond); at.After(mb.Heard) {
+			mb.Heard, mb.State = at, lv.State
 		}
 	}
 }
@@ -81,7 +81,7 @@
 		if now.Sub(hd.at) >= summaryFor {
 			continue
 		}
-		more := cmp.Or(cmp.Compare(len(hd.sm.Signs), len(best.sm.Signs)), cmp.Compare(from, name))
+		more := cmp.Or(cmp.Compare(len(hd.sm.Members), len(best.sm.Members)), cmp.Compare(from, name))
 		if best.at.IsZero() || more > 0 {
 			best, from = hd, name
 		}
@@ -94,7 +94,7 @@
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
 	sm := Summary{FailureDomain: rs.self.FailureDomain, Work: map[id.Pool]float32{}}
-	sm.Signs = append(sm.Signs, Sign{Key: KeyOf(rs.self.VM, rs.self.Incarnation), State: own.State})
+	sm.Members = append(sm.Members, Liveness{Key: KeyOf(rs.self.VM, rs.self.Incarnation), State: own.State})
 	add := func(work map[id.Pool]float32) {
 		for pl, slots := range work {
 			sm.Work[pl] += slots
@@ -106,7 +106,7 @@
 			continue
 		}
 		age := min(now.Sub(mb.DirectAt).Milliseconds(), math.MaxUint16)
-		sm.Signs = append(sm.Signs, Sign{Key: KeyOf(mb.VM, mb.Incarnation), State: mb.State, Age: uint16(age)})
+		sm.Members = append(sm.Members, Liveness{Key: KeyOf(mb.VM, mb.Incarnation), State: mb.State, Age: uint16(age)})
 		add(mb.Direct.Work)
 	}
 	sm.Loads = listOf(rs.loads)
--- a/io/gateway/limiter.go
+++ b/io/gateway/limiter.go
@@ -19,8 +19,8 @@
 	farLimit  = 180 * time.Millisecond
 	// silentTime is the time for which a VM that did not answer is not asked again. Its end shows only after a while.
 	silentTime = time.Second
-	// dryTime is the time for which no loan is asked for after nobody had a token to lend.
-	dryTime = 250 * time.Millisecond
+	// emptyBackoff is the time for which no loan is asked for after nobody had a token to lend.
+	emptyBackoff = 250 * time.Millisecond
 	// farLenders bounds the failure domains of other regions that are asked at the same time.
 	farLenders = 3
 )
@@ -35,7 +35,7 @@
 	ask     func(address string, ak status.Ask, limit time.Duration) (status.Grant, error)
 
 	mu     sync.Mutex
-	rounds map[id.Team]*round
+	rounds map[id.Team]*loanRound
 	silent map[id.VM]time.Time // until when a VM is not asked
 }
 
@@ -45,15 +45,15 @@
 	near bool // in this VM's region
 }
 
-// round asks the VMs that may lend tokens of a team.
-type round struct {
+// loanRound asks the VMs that may lend tokens of a team.
+type loanRound struct {
 	done  chan struct{}
 	until time.Time // before which no other round begins, if nobody had a token
 }
 
 // NewLimiter returns a limiter for a VM. The regions are those of all failure domains.
 func NewLimiter(self roster.Peer, lg *allot.Ledger, rs *roster.Roster, regions map[id.FailureDomain]id.Region) *Limiter {
-	lm := &Limiter{self: self, ledger: lg, roster: rs, rounds: map[id.Team]*round{}, silent: map[id.VM]time.Time{}}
+	lm := &Limiter{self: self, ledger: lg, roster: rs, rounds: map[id.Team]*loanRound{}, silent: map[id.VM]time.Time{}}
 	for name, rg := range regions {
 		if name != self.FailureDomain {
 			lm.domains = append(lm.domains, domain{name, rg == self.Region})
@@ -80,7 +80,7 @@
 			return 0, true
 		}
 	}
-	return max(wait, dryTime), false
+	return max(wait, emptyBackoff), false
 }
 
 // askCounter asks the VM that counts the requests of a team in this failure domain. It reports false if that one can't be asked.
@@ -116,7 +116,7 @@
 		return
 	}
 	lm.ledger.Arrived(now, ak.Team, 1)
-	go (&errand{lm, ak, reply, gr}).run()
+	go (&pendingGrant{lm, ak, reply, gr}).run()
 }
 
 func (lm *Limiter) lend(now time.Time, ak status.Ask) status.Grant {
@@ -124,20 +124,20 @@
 	return status.Grant{Tokens: tokens, Wait: wait, Counting: counting}
 }
 
-// errand borrows tokens before it answers the question of another VM.
-type errand struct {
+// pendingGrant borrows tokens before it answers the question of another VM.
+type pendingGrant struct {
 	lm    *Limiter
 	ask   status.Ask
 	reply status.Reply
 	grant status.Grant
 }
 
-func (er *errand) run() {
-	if er.lm.borrow(er.ask.Team) {
-		er.grant = er.lm.lend(time.Now(), er.ask)
+func (pg *pendingGrant) run() {
+	if pg.lm.borrow(pg.ask.Team) {
+		pg.grant = pg.lm.lend(time.Now(), pg.ask)
 	}
-	er.grant.Wait = max(er.grant.Wait, dryTime)
-	er.reply.Send(er.grant)
+	pg.grant.Wait = max(pg.grant.Wait, emptyBackoff)
+	pg.reply.Send(pg.grant)
 }
 
 // borrow asks for tokens of a team, first in the own region. It reports whether there were any. Those who come while it asks wait
@@ -155,16 +155,16 @@
 		lm.mu.Unlock()
 		return false
 	}
-	rd = &round{done: make(chan struct{})}
+	rd = &loanRound{done: make(chan struct{})}
 	lm.rounds[team] = rd
 	lm.mu.Unlock()
 	got := lm.askLenders(now, team, true) || lm.askLenders(time.Now(), team, false)
 	lm.mu.Lock()
 	defer lm.mu.Unlock()
 	close(rd.done)
-	next := &round{}
+	next := &loanRound{}
 	if !got {
-		next.until = time.Now().Add(dryTime)
+		next.until = time.Now().Add(emptyBackoff)
 	}
 	lm.rounds[team] = next
 	return got
@@ -184,8 +184,8 @@
 	each := (want + len(lenders) - 1) / len(lenders)
 	done := make(chan int, len(lenders))
 	for _, pr := range lenders {
-		qs := &quest{lm, pr.StatusAddress, status.Ask{Team: team, Want: each, Lend: true}, limit, now, done}
-		go qs.run()
+		lr := &loanRequest{lm, pr.StatusAddress, status.Ask{Team: team, Want: each, Lend: true}, limit, now, done}
+		go lr.run()
 	}
 	sum := 0
 	for range lenders {
@@ -210,8 +210,8 @@
 	return list
 }
 
-// quest asks one VM for a loan.
-type quest struct {
+// loanRequest asks one VM for a loan.
+type loanRequest struct {
 	lm      *Limiter
 	address string
 	ask     status.Ask
@@ -220,10 +220,10 @@
 	done    chan<- int
 }
 
-func (qs *quest) run() {
-	gr, err := qs.lm.ask(qs.address, qs.ask, qs.limit)
+func (lr *loanRequest) run() {
+	gr, err := lr.lm.ask(lr.address, lr.ask, lr.limit)
 	if err == nil {
-		qs.lm.ledger.Credit(qs.began, qs.ask.Team, gr.Tokens)
+		lr.lm.ledger.Credit(lr.began, lr.ask.Team, gr.Tokens)
 	}
-	qs.done <- gr.Tokens
+	lr.done <- gr.Tokens
 }
--- a/io/gateway/tell.go
+++ b/io/gateway/tell.go
@@ -18,10 +18,10 @@
 			direct[members[nr].VM] = &members[nr]
 		}
 	}
-	ol := &outlet{ct: ct, st: st, direct: direct, sent: map[id.VM]bool{ct.self.VM: true}}
+	sd := &sender{ct: ct, st: st, direct: direct, sent: map[id.VM]bool{ct.self.VM: true}}
 	speakers := ct.Roster.Speakers(now, ct.self.FailureDomain)
 	for _, pr := range speakers {
-		ol.send(pr, nil)
+		sd.send(pr, nil)
 	}
 	var own, all []roster.Summary
 	if !now.Before(ct.nextSummary) {
@@ -31,7 +31,7 @@
 	}
 	for _, mb := range direct {
 		if mb.FailureDomain == ct.self.FailureDomain {
-			ol.send(mb.Peer, all)
+			sd.send(mb.Peer, all)
 		}
 	}
 	if !ct.Roster.Speaks(now) {
@@ -42,35 +42,35 @@
 			continue
 		}
 		for _, pr := range ct.Roster.Speakers(now, fd) {
-			ol.send(pr, own)
+			sd.send(pr, own)
 		}
 	}
 	for _, mb := range direct {
-		ol.send(mb.Peer, own)
+		sd.send(mb.Peer, own)
 	}
 }
 
-// outlet sends a report to each VM once.
-type outlet struct {
+// sender sends a report to each VM once.
+type sender struct {
 	ct     *Control
 	st     *roster.Status
 	direct map[id.VM]*roster.Member
 	sent   map[id.VM]bool
 }
 
-func (ol *outlet) send(pr roster.Peer, summaries []roster.Summary) {
-	if ol.sent[pr.VM] {
+func (sd *sender) send(pr roster.Peer, summaries []roster.Summary) {
+	if sd.sent[pr.VM] {
 		return
 	}
-	ol.sent[pr.VM] = true
-	rp := &ol.st.Report
+	sd.sent[pr.VM] = true
+	rp := &sd.st.Report
 	rp.Echo, rp.EchoOf = 0, 0
-	if mb := ol.direct[pr.VM]; mb != nil {
+	if mb := sd.direct[pr.VM]; mb != nil {
 		rp.Echo, rp.EchoOf = mb.Direct.Sent, mb.Direct.Incarnation
 	}
-	ol.st.Summaries = summaries
-	if err := ol.ct.send(pr.StatusAddress, ol.st); err != nil {
-		ol.ct.Log.Debug("report not sent", "peer", string(pr.VM), "error", err.Error())
+	sd.st.Summaries = summaries
+	if err := sd.ct.send(pr.StatusAddress, sd.st); err != nil {
+		sd.ct.Log.Debug("report not sent", "peer", string(pr.VM), "error", err.Error())
 	}
 }
 
