--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -67,9 +67,7 @@
 	regions      map[id.Region][]*targetState
 	plan         plan
 	serviceTimes map[id.Route]*serviceTimes
-	arrivedWork  float64 // service time in seconds of the requests that arrived since measuredAt
-	measuredAt   time.Time
-	demand       float64 // moving average of the slots that the requests keep busy
+	demand       demandMeter
 }
 
 // serviceTimes holds moving averages of the time that a target takes for requests of a route: for requests on objects that the
@@ -188,7 +186,7 @@
 	pc.mu.Lock()
 	defer pc.mu.Unlock()
 	pl := pc.pool(rq.Pool)
-	pl.arrivedWork += pl.serviceTimesFor(rq).mean.Seconds()
+	pl.demand.add(pl.serviceTimesFor(rq).mean, pl.boundRegions(rq))
 }
 
 // Pick chooses a target for an attempt of the request and counts the attempt as in flight there. The caller must call Done when
--- a/core/placement/placer_test.go
+++ b/core/placement/placer_test.go
@@ -10,6 +10,7 @@
 
 	"damasklatch/core/id"
 	"damasklatch/core/placement"
+	"damasklatch/core/workload"
 )
 
 var start = time.Unix(1_800_000_000, 0)
@@ -153,8 +154,8 @@
 		pc := newPlacer("a")
 		all := append(targets(2, "north"), targets(8, "south")...)
 		now := start
-		demand := func(north, south float64) map[id.Pool]map[id.Region]float64 {
-			return map[id.Pool]map[id.Region]float64{"desk": {"north": north, "south": south}}
+		demand := func(north, south float64) map[id.Pool]map[id.Region]workload.Demand {
+			return map[id.Pool]map[id.Region]workload.Demand{"desk": {"north": {Slots: north}, "south": {Slots: south}}}
 		}
 		south := func() float64 {
 			num := 0
@@ -382,7 +383,7 @@
 		pc.SetTargets(start, append(targets(1, "north"), targets(8, "south")...))
 		now := start
 		for range 20 {
-			pc.UpdatePlan(now, map[id.Pool]map[id.Region]float64{"desk": {"north": 30, "south": 1}})
+			pc.UpdatePlan(now, map[id.Pool]map[id.Region]workload.Demand{"desk": {"north": {Slots: 30}, "south": {Slots: 1}}})
 			now = now.Add(time.Second)
 		}
 		large := func(object string) *placement.Request {
--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -6,6 +6,7 @@
 
 	"damasklatch/core/id"
 	"damasklatch/core/rendezvous"
+	"damasklatch/core/workload"
 )
 
 const (
@@ -37,44 +38,89 @@
 	lastDemandAt      time.Time // zero if there was no demand yet
 }
 
-// desiredWeights computes the weights for the work of the home region from the capacity and the demand of each region, both in
-// slots. The home region keeps its work up to localUtilization, or up to the average utilization of all regions if that is
-// higher. The rest is divided among the other regions in proportion to their spare capacity.
-func desiredWeights(home id.Region, capacity, demand map[id.Region]float64) map[id.Region]float64 {
-	var sumCapacity, sumDemand float64
-	for _, slots := range capacity {
-		sumCapacity += slots
+// regionLoad is the capacity of a region and the demand for it, in slots.
+type regionLoad struct {
+	capacity float64
+	movable  float64 // demand that arrives in the region and may run in every region
+	bound    float64 // demand of all regions that may run only in this one
+}
+
+// newRegionLoads combines the capacity of each region with the demand that arrives in each region.
+func newRegionLoads(capacity map[id.Region]float64, demand map[id.Region]workload.Demand) map[id.Region]regionLoad {
+	all := make(map[id.Region]regionLoad, len(capacity))
+	for name, slots := range capacity {
+		all[name] = regionLoad{capacity: slots}
+	}
+	for name, dm := range demand {
+		ld := all[name]
+		ld.movable += dm.Movable()
+		all[name] = ld
+		for region, slots := range dm.Bound {
+			ld := all[region]
+			ld.bound += slots
+			all[region] = ld
+		}
 	}
-	for _, slots := range demand {
-		sumDemand += slots
+	return all
+}
+
+// targetUtilization returns the utilization up to which regions take movable work: localUtilization, or the utilization that all
+// regions reach together if that is higher. Regions that bound work alone loads further take none and are left out.
+func targetUtilization(all map[id.Region]regionLoad) float64 {
+	utilization := localUtilization
+	for range all {
+		var capacity, demand float64
+		for _, ld := range all {
+			demand += ld.movable
+			if ld.bound < utilization*ld.capacity {
+				capacity += ld.capacity
+				demand += ld.bound
+			}
+		}
+		if capacity <= 0 || demand <= utilization*capacity {
+			return utilization
+		}
+		utilization = demand / capacity
+	}
+	return utilization
+}
+
+// room returns the demand that the region can take besides its bound demand, up to a utilization.
+func (ld regionLoad) room(utilization float64) float64 {
+	return max(utilization*ld.capacity-ld.bound, 0)
+}
+
+// desiredWeights computes the weights for the movable work of the home region. The home region keeps its work up to the target
+// utilization. The rest is divided among the other regions in proportion to what they can take besides their own work.
+func desiredWeights(home id.Region, all map[id.Region]regionLoad) map[id.Region]float64 {
+	var sumCapacity, sumSpare float64
+	utilization := targetUtilization(all)
+	spare := map[id.Region]float64{}
+	for name, ld := range all {
+		sumCapacity += ld.capacity
+		if name != home {
+			spare[name] = max(ld.room(utilization)-ld.movable, 0)
+			sumSpare += spare[name]
+		}
 	}
 	if sumCapacity <= 0 {
 		return map[id.Region]float64{}
 	}
-	utilization := max(localUtilization, sumDemand/sumCapacity)
-	var sumSpare float64
-	spare := map[id.Region]float64{}
-	for name, slots := range capacity {
-		spare[name] = max(utilization*slots-demand[name], 0)
-		sumSpare += spare[name]
-	}
-	own := demand[home]
-	keptFraction := 1.0
-	if own > 0 {
-		keptFraction = min(utilization*capacity[home]/own, 1)
-	} else if capacity[home] <= 0 {
-		keptFraction = 0
+	own := all[home]
+	kept := 1.0
+	switch {
+	case own.movable > 0:
+		kept = min(own.room(utilization)/own.movable, 1)
+	case own.capacity <= 0:
+		kept = 0
 	}
-	weights := map[id.Region]float64{home: keptFraction}
+	weights := map[id.Region]float64{home: kept}
 	for name, slots := range spare {
-		if name == home {
-			continue
-		}
-		fraction := capacity[name] / max(sumCapacity-capacity[home], 1)
+		fraction := all[name].capacity / max(sumCapacity-own.capacity, 1)
 		if sumSpare > 0 {
 			fraction = slots / sumSpare
 		}
-		weights[name] = (1 - keptFraction) * fraction
+		weights[name] = (1 - kept) * fraction
 	}
 	return weights
 }
--- /dev/null
+++ b/core/placement/plan_test.go
@@ -0,0 +1,91 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"damasklatch/core/id"
+	"damasklatch/core/placement"
+	"damasklatch/core/workload"
+)
+
+// shares returns the fractions of requests on many objects that a placer sends to each region.
+func shares(pc *placement.Placer, now time.Time, rq func(object string) *placement.Request) map[id.Region]float64 {
+	const num = 600
+	all := map[id.Region]float64{}
+	for nr := range num {
+		ch, rf := pc.Pick(now, rq(fmt.Sprint("object-", nr)))
+		if rf != nil {
+			continue
+		}
+		all[ch.Region] += 1.0 / num
+		pc.Done(now, &ch, "read", placement.Result{Kind: placement.Succeeded, Latency: 50 * time.Millisecond})
+	}
+	return all
+}
+
+// Guards against a small region that fills up with work that could run elsewhere, while requests of a team that must run there
+// are refused.
+func TestPlanLeavesRoomForBoundWork(t *testing.T) {
+	Convey("work that must run in the small region uses most of it", t, func() {
+		pc := newPlacer("a")
+		pc.SetTargets(start, append(targets(2, "north"), targets(8, "south")...))
+		demand := map[id.Region]workload.Demand{
+			"north": {Slots: 7, Bound: map[id.Region]float64{"north": 3}}, "south": {Slots: 10, Bound: map[id.Region]float64{"north": 3}},
+		}
+		pc.UpdatePlan(start, map[id.Pool]map[id.Region]workload.Demand{"desk": demand})
+		So(shares(pc, start, request)["south"], ShouldBeGreaterThan, 0.95)
+		Convey("requests of the team still go there", func() {
+			So(shares(pc, start, func(object string) *placement.Request {
+				rq := request(object)
+				rq.Allowed = func(rg id.Region) bool { return rg == "north" }
+				return rq
+			})["north"], ShouldAlmostEqual, 1)
+		})
+	})
+	Convey("the same demand, all of it movable", t, func() {
+		pc := newPlacer("a")
+		pc.SetTargets(start, append(targets(2, "north"), targets(8, "south")...))
+		demand := map[id.Region]workload.Demand{"north": {Slots: 7}, "south": {Slots: 10}}
+		pc.UpdatePlan(start, map[id.Pool]map[id.Region]workload.Demand{"desk": demand})
+		So(shares(pc, start, request)["north"], ShouldBeGreaterThan, 0.3)
+	})
+}
+
+// Guards against demand of restricted requests that a VM reports as work which may run anywhere, and against first figures that
+// are too low because the moving average starts at zero.
+func TestDemandOfBoundWork(t *testing.T) {
+	Convey("half of the requests must run in the south", t, func() {
+		pc := newPlacer("a")
+		pc.SetTargets(start, append(targets(2, "north"), targets(8, "south")...))
+		now := start
+		for nr := range 40 {
+			rq := request("x")
+			if nr%2 == 0 {
+				rq.Allowed = func(rg id.Region) bool { return rg == "south" }
+			}
+			pc.CountArrival(rq)
+			pc.Demand(now)
+			now = now.Add(50 * time.Millisecond)
+		}
+		dm := pc.Demand(now)["desk"]
+		perSlot := objective.Seconds() / 0.05 // one request of this length every 50 ms
+		So(dm.Slots, ShouldAlmostEqual, perSlot, 0.1*perSlot)
+		So(dm.Bound["south"], ShouldAlmostEqual, perSlot/2, 0.1*perSlot)
+		So(dm.Bound, ShouldNotContainKey, id.Region("north"))
+	})
+}
+
+// Guards against a plan that a VM makes right after its start from the demand of its own region alone: a small region would keep
+// work that it can't handle until the plan has moved away.
+func TestFirstPlanWithoutOtherRegions(t *testing.T) {
+	Convey("only the own, small region has reported", t, func() {
+		pc := newPlacer("a")
+		pc.SetTargets(start, append(targets(2, "north"), targets(8, "south")...))
+		pc.UpdatePlan(start, map[id.Pool]map[id.Region]workload.Demand{"desk": {"north": {Slots: 0.7}}})
+		So(shares(pc, start, request)["north"], ShouldAlmostEqual, 0.4, 0.1)
+	})
+}
--- a/core/roster/message.go
+++ b/core/roster/message.go
@@ -6,6 +6,7 @@
 	"damasklatch/core/id"
 	"damasklatch/core/lease"
 	"damasklatch/core/rendezvous"
+	"damasklatch/core/workload"
 )
 
 // Peer is the registration of a VM in the store.
@@ -68,6 +69,33 @@
 	Loads  []Load              `cbor:"10,keyasint,omitempty"`
 	// Changes holds, for each kind of object, the revision of the newest change that the sender has seen.
 	Changes map[string]int64 `cbor:"11,keyasint,omitempty"`
+	Bound   BoundWork        `cbor:"12,keyasint,omitempty"` // the part of Work that may run only in some regions
+}
+
+// BoundWork is the work of each pool, in slots, by the region in which it must run.
+type BoundWork map[id.Pool]map[id.Region]float32
+
+// add adds the work of another VM.
+func (bw BoundWork) add(more BoundWork) {
+	for pl, regions := range more {
+		if bw[pl] == nil {
+			bw[pl] = map[id.Region]float32{}
+		}
+		for rg, slots := range regions {
+			bw[pl][rg] += slots
+		}
+	}
+}
+
+// SetDemand sets the work of the report to the demand for each pool.
+func (rp *Report) SetDemand(all map[id.Pool]workload.Demand) {
+	rp.Work, rp.Bound = make(map[id.Pool]float32, len(all)), BoundWork{}
+	for pl, dm := range all {
+		rp.Work[pl] = float32(dm.Slots)
+		for rg, slots := range dm.Bound {
+			rp.Bound.add(BoundWork{pl: {rg: float32(slots)}})
+		}
+	}
 }
 
 // Liveness is an entry of a Summary: the age of a VM's last sign of life and the state that the VM had then.
@@ -85,6 +113,7 @@
 	Work          map[id.Pool]float32 `cbor:"3,keyasint,omitempty"` // sum over the VMs, in slots
 	Loads         []Load              `cbor:"4,keyasint,omitempty"`
 	Age           time.Duration       `cbor:"5,keyasint,omitempty"` // time since the summary was made
+	Bound         BoundWork           `cbor:"6,keyasint,omitempty"` // the part of Work that may run only in some regions
 }
 
 // Status is the message that VMs send each other: the sender's report, and from an aggregator also summaries.
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -10,6 +10,7 @@
 	"damasklatch/core/id"
 	"damasklatch/core/lease"
 	"damasklatch/core/roster"
+	"damasklatch/core/workload"
 )
 
 const team = id.Team("salon")
@@ -149,7 +150,7 @@
 		remote.SetPeers(now, all)
 		aggregator.SetPeers(now, all)
 		st := status("m", 1, 1)
-		st.Report.Work = map[id.Pool]float32{"desk": 3}
+		st.Report.SetDemand(map[id.Pool]workload.Demand{"desk": {Slots: 3, Bound: map[id.Region]float64{"north": 2}}})
 		aggregator.Receive(now, st)
 		alive := func() bool {
 			for _, mb := range remote.Members() {
@@ -168,9 +169,9 @@
 		now = now.Add(1500 * time.Millisecond)
 		sendSummary(2)
 		So(alive(), ShouldBeTrue)
-		work, own := remote.SlotDemand(now, map[id.FailureDomain]id.Region{"y": "south"})
+		demand, own := remote.Demand(now, map[id.FailureDomain]id.Region{"y": "south"})
 		So(own, ShouldBeFalse)
-		So(work["south"]["desk"], ShouldEqual, 3)
+		So(demand["south"]["desk"], ShouldResemble, workload.Demand{Slots: 3, Bound: map[id.Region]float64{"north": 2}})
 		now = now.Add(600 * time.Millisecond)
 		sendSummary(3)
 		So(alive(), ShouldBeFalse)
--- a/core/roster/summary.go
+++ b/core/roster/summary.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"damasklatch/core/id"
+	"damasklatch/core/workload"
 )
 
 // receivedSummary is a summary from an aggregator and the time at which it was made.
@@ -41,37 +42,74 @@
 	mergeLoads(rs.loads, loads)
 }
 
-// SlotDemand returns the number of slots that the demand of other VMs needs, by region and pool. If own is true, the figures of
-// this VM's failure domain come from the summary of another VM and include the demand of this VM.
-func (rs *Roster) SlotDemand(now time.Time, regionOf map[id.FailureDomain]id.Region) (work map[id.Region]map[id.Pool]float64, own bool) {
-	rs.mu.RLock()
-	defer rs.mu.RUnlock()
-	work = map[id.Region]map[id.Pool]float64{}
-	add := func(rg id.Region, more map[id.Pool]float32) {
-		if work[rg] == nil {
-			work[rg] = map[id.Pool]float64{}
+// RegionDemand is the demand that arrives in each region, by pool.
+type RegionDemand map[id.Region]map[id.Pool]workload.Demand
+
+// Add adds the demand of a VM or of a failure domain to that of a region.
+func (rd RegionDemand) Add(rg id.Region, all map[id.Pool]workload.Demand) {
+	if rd[rg] == nil {
+		rd[rg] = map[id.Pool]workload.Demand{}
+	}
+	for pl, more := range all {
+		dm := rd[rg][pl]
+		dm.Add(more)
+		rd[rg][pl] = dm
+	}
+}
+
+// ByPool returns the demand by pool and region. Regions without demand for a pool are included with zero, as long as they are
+// known.
+func (rd RegionDemand) ByPool() map[id.Pool]map[id.Region]workload.Demand {
+	all := map[id.Pool]map[id.Region]workload.Demand{}
+	for _, pools := range rd {
+		for pl := range pools {
+			all[pl] = make(map[id.Region]workload.Demand, len(rd))
 		}
-		for pl, slots := range more {
-			work[rg][pl] += float64(slots)
+	}
+	for pl, regions := range all {
+		for rg, pools := range rd {
+			regions[rg] = pools[pl]
 		}
 	}
-	for fd, all := range rs.summaries {
-		best, ok := mostComplete(now, all)
+	return all
+}
+
+// demandOf returns reported work as demand for each pool.
+func demandOf(work map[id.Pool]float32, bound BoundWork) map[id.Pool]workload.Demand {
+	all := make(map[id.Pool]workload.Demand, len(work))
+	for pl, slots := range work {
+		dm := workload.Demand{Slots: float64(slots)}
+		for rg, part := range bound[pl] {
+			dm.AddBound(rg, float64(part))
+		}
+		all[pl] = dm
+	}
+	return all
+}
+
+// Demand returns the demand that arrives at other VMs. If own is true, the figures of this VM's failure domain come from the
+// summary of another VM and include the demand of this VM. A region that no VM has reported is missing.
+func (rs *Roster) Demand(now time.Time, regionOf map[id.FailureDomain]id.Region) (all RegionDemand, own bool) {
+	rs.mu.RLock()
+	defer rs.mu.RUnlock()
+	all = RegionDemand{}
+	for fd, received := range rs.summaries {
+		best, ok := mostComplete(now, received)
 		if !ok || fd == rs.self.FailureDomain && rs.isAggregator(now) {
 			continue
 		}
 		own = own || fd == rs.self.FailureDomain
-		add(regionOf[fd], best.sm.Work)
+		all.Add(regionOf[fd], demandOf(best.sm.Work, best.sm.Bound))
 	}
 	if own {
-		return work, true
+		return all, true
 	}
 	for _, mb := range rs.members {
 		if mb.FailureDomain == rs.self.FailureDomain && mb.ReportsDirectly(now) {
-			add(mb.Region, mb.LastReport.Work)
+			all.Add(mb.Region, demandOf(mb.LastReport.Work, mb.LastReport.Bound))
 		}
 	}
-	return work, false
+	return all, false
 }
 
 // mostComplete returns the summary that lists the most VMs among those made within summaryLifetime. It reports false if there is
@@ -96,21 +134,22 @@
 func (rs *Roster) Summary(now time.Time, own *Report) Summary {
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
-	sm := Summary{FailureDomain: rs.self.FailureDomain, Work: map[id.Pool]float32{}}
+	sm := Summary{FailureDomain: rs.self.FailureDomain, Work: map[id.Pool]float32{}, Bound: BoundWork{}}
 	sm.Members = append(sm.Members, Liveness{Key: KeyOf(rs.self.VM, rs.self.Incarnation), State: own.State})
-	add := func(work map[id.Pool]float32) {
-		for pl, slots := range work {
+	add := func(rp *Report) {
+		for pl, slots := range rp.Work {
 			sm.Work[pl] += slots
 		}
+		sm.Bound.add(rp.Bound)
 	}
-	add(own.Work)
+	add(own)
 	for _, mb := range rs.members {
 		if mb.FailureDomain != rs.self.FailureDomain || !mb.ReportsDirectly(now) {
 			continue
 		}
 		age := min(now.Sub(mb.LastReportAt).Milliseconds(), math.MaxUint16)
 		sm.Members = append(sm.Members, Liveness{Key: KeyOf(mb.VM, mb.Incarnation), State: mb.State, Age: uint16(age)})
-		add(mb.LastReport.Work)
+		add(&mb.LastReport)
 	}
 	sm.Loads = loadList(rs.loads)
 	clear(rs.loads)
--- a/io/gateway/members.go
+++ b/io/gateway/members.go
@@ -90,28 +90,13 @@
 	return ct.loaded[ct.Adapter.Kinds().VMs] && pr.VM == ct.self.VM
 }
 
-// updatePlan sums up the demand for slots by pool and region, and passes it to the placer.
+// updatePlan passes the demand for slots by pool and region to the placer.
 func (ct *Controller) updatePlan(now time.Time) {
-	demand := map[id.Pool]map[id.Region]float64{}
-	add := func(rg id.Region, pl id.Pool, slots float64) {
-		if demand[pl] == nil {
-			demand[pl] = map[id.Region]float64{}
-		}
-		demand[pl][rg] += slots
-	}
-	work, own := ct.Roster.SlotDemand(now, ct.Settings.Regions)
-	for rg, pools := range work {
-		for pl, slots := range pools {
-			add(rg, pl, slots)
-		}
-	}
-	mine := ct.Placer.Demand(now)
-	if !own {
-		for pl, slots := range mine {
-			add(ct.self.Region, pl, float64(slots))
-		}
+	regions, own := ct.Roster.Demand(now, ct.Settings.Regions)
+	if mine := ct.Placer.Demand(now); !own {
+		regions.Add(ct.self.Region, mine)
 	}
-	ct.Placer.UpdatePlan(now, demand)
+	ct.Placer.UpdatePlan(now, regions.ByPool())
 }
 
 // updateReady decides whether this VM is ready for requests, and updates the directory for look-ups.
--- a/io/gateway/reports.go
+++ b/io/gateway/reports.go
@@ -86,8 +86,9 @@
 	}
 	rp := roster.Report{
 		VM: ct.self.VM, Incarnation: ct.self.Incarnation, State: ct.state(), Version: ct.version, EvidenceAge: age,
-		Sent: ct.Lease.Now(), Work: ct.Placer.Demand(now), Changes: make(map[string]int64, len(ct.latestChanges)),
+		Sent: ct.Lease.Now(), Changes: make(map[string]int64, len(ct.latestChanges)),
 	}
+	rp.SetDemand(ct.Placer.Demand(now))
 	for kind, rev := range ct.latestChanges {
 		rp.Changes[string(kind)] = int64(max(rev, ct.progress[kind].announced))
 	}
