--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -220,7 +220,7 @@
 		Target: ts.Target, ExpectedWait: wait, HedgeDelay: hedgeDelay(pl.serviceTimesFor(rq), wait, rq.Remaining),
 		InFlight: int(ts.inFlight(now)), KnowsObject: cd.known, object: object,
 	}
-	if !acceptableWait(rq, wait) {
+	if !cd.acceptable {
 		return Choice{}, &Refusal{Reason: Full, RetryAfter: min(max(wait/2, minRetryAfter), maxRetryAfter), Region: region, Best: ch}
 	}
 	if now.Before(ts.coldUntil) {
@@ -303,6 +303,17 @@
 	known bool
 	wait  time.Duration // estimated wait for a free slot
 	cost  time.Duration // wait, service time and penalties
+	// acceptable is set if the request may wait so long.
+	acceptable bool
+}
+
+// better reports whether a request should rather go to this target than to another one. A target with an acceptable wait comes
+// before one without: even if it does not know the object, the response there is better than a refusal.
+func (cd *candidate) better(ot *candidate) bool {
+	if cd.acceptable != ot.acceptable {
+		return cd.acceptable
+	}
+	return cd.cost < ot.cost
 }
 
 // lowestCost returns the eligible target with the lowest cost, or false if there is none. Apart from the preferred target, those
@@ -333,7 +344,8 @@
 		if preferLocal && ts.FailureDomain != pc.op.FailureDomain {
 			cd.cost += rq.Objective / 2
 		}
-		if !ok || cd.cost < best.cost {
+		cd.acceptable = acceptableWait(rq, cd.wait)
+		if !ok || cd.better(&best) {
 			best, ok = cd, true
 		}
 	}
