--- a/core/placement/target.go
+++ b/core/placement/target.go
@@ -81,6 +81,9 @@
 	Slots   int
 }
 
+// HasRoom reports whether the target has free slots and no queue. It is false for nil.
+func (ld *Load) HasRoom() bool { return ld != nil && ld.Waiting == 0 && ld.Running < ld.Slots }
+
 // Result is the outcome of an attempt.
 type Result struct {
 	Kind    ResultKind
--- a/io/gateway/attempt.go
+++ b/io/gateway/attempt.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"damasklatch/core/id"
 	"damasklatch/core/placement"
 	"damasklatch/io/target"
 )
@@ -21,6 +22,7 @@
 
 // outcome is the result of one attempt.
 type outcome struct {
+	target     id.Target
 	resp       *http.Response
 	info       ResponseInfo
 	body       []byte
@@ -29,6 +31,9 @@
 	refusal    refusal // what to answer if resp is nil or the target has not run the request
 	cause      error   // why there is no response; may be nil
 	mayHaveRun bool    // the target may have run the request
+	// spurious is set if the target refused the request although it reported free slots. It may accept the same request the
+	// next time.
+	spurious bool
 }
 
 func (oc *outcome) discard() {
@@ -49,6 +54,7 @@
 	} else {
 		oc = rq.readResponse(ctx, lk, resp)
 	}
+	oc.target = ch.ID
 	done := &attemptReporter{rq: rq, ch: *ch, latency: time.Since(sent), load: oc.info.Load}
 	if oc.stream == nil {
 		cancel()
@@ -208,6 +214,9 @@
 	case oc.info.NotRun:
 		oc.kind, oc.mayHaveRun = placement.Shed, false
 		oc.refusal = refusal{reason: reasonRefused, retryAfter: targetRetryAfter}
+		if oc.info.Load.HasRoom() {
+			oc.spurious, oc.refusal.retryAfter = true, spuriousRetryAfter
+		}
 	case resp.StatusCode >= http.StatusInternalServerError:
 		oc.kind = placement.Failed
 	default:
--- a/io/gateway/forward.go
+++ b/io/gateway/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -40,6 +41,9 @@
 			rq.attempts--
 		}
 		last = oc
+		if oc.spurious {
+			rq.allowAgain(oc.target)
+		}
 		if !rq.mayRetry(oc, unreached) || oc.kind != placement.Unreached && !rq.sv.op.Budget.Take(time.Now(), rq.placement.Pool) {
 			return rq.finish(last)
 		}
@@ -75,6 +79,11 @@
 	rq.attempts++
 }
 
+// allowAgain makes a target eligible again for further attempts. It knows the object of the request, and most others do not.
+func (rq *request) allowAgain(name id.Target) {
+	rq.placement.Tried = slices.DeleteFunc(rq.placement.Tried, func(tried id.Target) bool { return tried == name })
+}
+
 // mayRetry reports whether the request may be sent to another target.
 func (rq *request) mayRetry(oc *outcome, unreached int) bool {
 	if rq.ctx.Err() != nil || rq.stream != nil || rq.attempts >= rq.route.MaxAttempts || unreached >= maxUnreachedAttempts {
--- a/io/gateway/refusal.go
+++ b/io/gateway/refusal.go
@@ -47,6 +47,9 @@
 	notReadyRetryAfter = 300 * time.Millisecond
 	// targetRetryAfter is the Retry-After time if no target has run the request.
 	targetRetryAfter = 200 * time.Millisecond
+	// spuriousRetryAfter is the Retry-After time if a target refused the request although it had free slots. Waiting would not
+	// improve the chance of the next attempt, and could make its response late.
+	spuriousRetryAfter = 10 * time.Millisecond
 )
 
 // refusal is a response that the gateway makes itself.
