--- a/io/gateway/request.go
+++ b/io/gateway/request.go
@@ -97,13 +97,13 @@
 		return rf
 	}
 	rq.buildPlacement()
-	rq.sv.op.Placer.CountArrival(&rq.placement)
-	if rq.team == nil {
-		return nil
-	}
-	if wait, ok := rq.sv.op.Limiter.Take(rq.started, rq.team.Name); !ok {
-		return &refusal{reason: reasonRate, retryAfter: wait}
+	if rq.team != nil {
+		if wait, ok := rq.sv.op.Limiter.Take(rq.started, rq.team.Name); !ok {
+			return &refusal{reason: reasonRate, retryAfter: wait}
+		}
 	}
+	// Requests beyond the limit of a team are not counted: they need no slots, and would move work of other teams away.
+	rq.sv.op.Placer.CountArrival(&rq.placement)
 	return nil
 }
 
