--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -12,8 +12,8 @@
 	// rateFraction and burstFraction are the fractions of a limit that are distributed, and slackFraction is the
 	// distributed fraction of the tolerated excess over bursts. The rest is a reserve: VMs that were restarted,
 	// suspended or partitioned see a different fleet than the others for some time.
-	rateFraction  = 0.95
-	burstFraction = 0.8
+	rateFraction  = 1
+	burstFraction = 1
 	slackFraction = 0.6
 	// loanLifetime is the time after which borrowed tokens expire. Tokens that are lent leave room for new ones in
 	// the lender's bucket, so all shares together can exceed the burst by the tokens that accrue in this time.
@@ -182,6 +182,17 @@
 	}
 }
 
+// Return gives back a token that was taken at the given time for a request that did not run. It expires like a borrowed
+// token, because the bucket that it came from may have refilled since.
+func (lg *Ledger) Return(now, taken time.Time, name id.Team) {
+	expiry := taken.Add(loanLifetime)
+	lg.mu.Lock()
+	defer lg.mu.Unlock()
+	if ac := lg.teams[name]; ac != nil && ac.limit.Rate > 0 && now.Before(expiry) {
+		ac.loans = append(ac.loans, loan{1, expiry})
+	}
+}
+
 // RecordDemand adds num requests for which another VM asked this one to the demand estimate, which determines how
 // much this VM borrows.
 func (lg *Ledger) RecordDemand(now time.Time, name id.Team, num int) {
--- a/core/quota/model_test.go
+++ b/core/quota/model_test.go
@@ -50,6 +50,8 @@
 	messages       int
 	bytes          int
 	countTraffic   bool // whether send counts messages and bytes
+	// unrunOneIn is the number of admitted requests of which one does not run, so that its token is returned; 0 for none.
+	unrunOneIn int
 }
 
 // vm is a simulated VM. The times that end in Until are the ends of faults.
@@ -79,6 +81,7 @@
 	nextStatus          time.Time
 	nextSummary         time.Time
 	inbox               []message
+	unrun               []time.Time // when tokens were taken for requests that did not run
 }
 
 // message is a status message that arrives at the given time.
@@ -124,7 +127,7 @@
 	mc.roster = roster.New(mc.peer())
 	mc.ledger = quota.New(len(mc.fl.domains), slack)
 	mc.ledger.SetLimits(mc.fl.now, map[id.Team]quota.Limit{team: {Rate: mc.fl.rate, Burst: mc.fl.burst}}, mc.coordinates)
-	mc.knowsRevoked, mc.inbox = false, nil
+	mc.knowsRevoked, mc.inbox, mc.unrun = false, nil, nil
 	mc.readRegistrations()
 }
 
@@ -179,6 +182,7 @@
 		mc.receive(&mc.inbox[0].st)
 		mc.inbox = mc.inbox[1:]
 	}
+	mc.returnTokens()
 	mc.read()
 	if !fl.now.Before(mc.nextStatus) {
 		mc.nextStatus = fl.now.Add(statusInterval)
@@ -316,11 +320,28 @@
 	if !fl.revoked.IsZero() && fl.now.Sub(fl.revoked) > revokeAfter {
 		fl.violations = append(fl.violations, fmt.Sprintf("%s serves the key %s after its withdrawal", mc.name, fl.now.Sub(fl.revoked)))
 	}
-	if mc.take() {
-		fl.admitted = append(fl.admitted, fl.now)
+	if !mc.take() {
+		fl.refused++
 		return
 	}
-	fl.refused++
+	if fl.unrunOneIn > 0 && fl.rng.IntN(fl.unrunOneIn) == 0 {
+		mc.unrun = append(mc.unrun, fl.now)
+		return
+	}
+	fl.admitted = append(fl.admitted, fl.now)
+}
+
+// returnTokens returns the tokens of the requests that did not run, each after a random time.
+func (mc *vm) returnTokens() {
+	kept := mc.unrun[:0]
+	for _, taken := range mc.unrun {
+		if mc.fl.rng.IntN(3) == 0 {
+			mc.ledger.Return(mc.fl.now, taken, team)
+		} else {
+			kept = append(kept, taken)
+		}
+	}
+	mc.unrun = kept
 }
 
 // take asks the coordinator for a token. A VM whose tokens are used up borrows from other failure domains.
@@ -483,7 +504,7 @@
 func TestFleetKeepsLimits(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		fl := newRandomFleet(rt)
-		fl.keepKey = true
+		fl.keepKey, fl.unrunOneIn = true, 5
 		fl.run(800)
 		fl.checkLimit(rt)
 	})
@@ -494,7 +515,7 @@
 func TestFleetWithoutFaultsKeepsLimits(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		fl := newRandomFleet(rt)
-		fl.keepKey, fl.noFaults = true, true
+		fl.keepKey, fl.noFaults, fl.unrunOneIn = true, true, 5
 		fl.run(800)
 		fl.checkLimit(rt)
 	})
--- a/io/gateway/attempt.go
+++ b/io/gateway/attempt.go
@@ -63,6 +63,9 @@
 		oc = rq.readResponse(ctx, lk, resp)
 	}
 	oc.target = ch.ID
+	if oc.mayHaveRun {
+		rq.mayHaveRun.Store(true)
+	}
 	done := &attemptReporter{rq: rq, ch: *ch, latency: time.Since(sent), bytes: oc.bytes(), load: oc.info.Load}
 	if oc.stream == nil {
 		cancel()
--- a/io/gateway/limiter.go
+++ b/io/gateway/limiter.go
@@ -88,6 +88,11 @@
 	return max(wait, noLoanBackoff), false
 }
 
+// Return gives back a token that was taken at the given time for a request that has not run.
+func (lm *Limiter) Return(taken time.Time, team id.Team) {
+	lm.ledger.Return(time.Now(), taken, team)
+}
+
 // askCoordinator requests tokens from the coordinator of a team in this failure domain. It reports false if there is no other
 // coordinator or it doesn't answer.
 func (lm *Limiter) askCoordinator(now time.Time, team id.Team) (status.TokenGrant, bool) {
--- a/io/gateway/refusal.go
+++ b/io/gateway/refusal.go
@@ -58,6 +58,15 @@
 	retryAfter time.Duration // time for the field Retry-After; zero omits it
 }
 
+// afterRun returns the refusal for a request that an earlier attempt may have run. It must not have a status by which the caller
+// knows that the request has not run.
+func (rf *refusal) afterRun() *refusal {
+	if statuses[rf.reason] >= http.StatusInternalServerError && statuses[rf.reason] != http.StatusServiceUnavailable {
+		return rf
+	}
+	return &refusal{reason: reasonLost}
+}
+
 // write writes the refusal and returns its status.
 func (rf *refusal) write(rw http.ResponseWriter) int {
 	status := statuses[rf.reason]
--- a/io/gateway/request.go
+++ b/io/gateway/request.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -36,9 +37,11 @@
 	ctx       context.Context
 
 	attempts int
-	last     placement.Choice // choice of the last attempt, or the best target of a refused placement
-	region   id.Region        // region of the refused placement
-	cause    error            // error of the last attempt, if it got no response
+	// mayHaveRun is set once a target may have run the request.
+	mayHaveRun atomic.Bool
+	last       placement.Choice // choice of the last attempt, or the best target of a refused placement
+	region     id.Region        // region of the refused placement
+	cause      error            // error of the last attempt, if it got no response
 }
 
 // ServeHTTP implements http.Handler.
@@ -60,9 +63,15 @@
 	if rf == nil {
 		rf = rq.forward()
 	}
-	if rf != nil {
-		rq.refuse(rf)
+	if rf == nil {
+		return
+	}
+	if rq.mayHaveRun.Load() {
+		rf = rf.afterRun()
+	} else if rq.team != nil {
+		rq.sv.op.Limiter.Return(rq.started, rq.team.Name)
 	}
+	rq.refuse(rf)
 }
 
 // timeLimit returns the time within which the request must be answered: the timeout of the route, or the deadline of the
