--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -226,12 +226,12 @@
 	}
 	ch := Choice{
 		Target: ts.Target, ExpectedWait: wait, HedgeDelay: hedgeDelay(pl.history(rq), wait, rq.Remaining),
-		InFlight: int(ts.inFlight(now)), KnowsObject: cd.known, object: object,
+		InFlight: int(ts.inFlight(now)), KnowsObject: cd.known, Cold: now.Before(ts.coldUntil), object: object,
 	}
 	if !cd.acceptable {
 		return Choice{}, &Refusal{Reason: Full, RetryAfter: min(max(wait/2, minRetryAfter), maxRetryAfter), Region: region, Best: ch}
 	}
-	if now.Before(ts.coldUntil) {
+	if ch.Cold {
 		ts.coldPacer.take(now, pc.coldRatePerVM(ts))
 	}
 	ts.ownInFlight++
--- a/core/placement/target.go
+++ b/core/placement/target.go
@@ -39,6 +39,7 @@
 	HedgeDelay   time.Duration // time without a response after which the request may also be sent to a second target
 	InFlight     int           // estimated number of other requests at the target
 	KnowsObject  bool          // the target probably knows the object of the request
+	Cold         bool          // the target has started recently
 	object       uint64        // hash of the route and the object
 }
 
--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -29,7 +29,14 @@
 	Message   string    `json:"msg"`
 	VM        string    `json:"vm"`
 	RequestID string    `json:"request_id"`
-	text      string
+	Loss      string    `json:"loss"`
+	Route     string    `json:"route"`
+	Team      string    `json:"team"`
+	Pool      string    `json:"pool"`
+	Count     int       `json:"count"` // dropped lines
+	// TargetFailureDomain is the failure domain of the target of the last attempt.
+	TargetFailureDomain string `json:"target_failure_domain"`
+	text                string
 }
 
 // maxLineBytes is the maximum length of a log line.
@@ -37,27 +44,36 @@
 
 // Run implements Command.
 func (ex *Explain) Run(_ context.Context, ev *Env) error {
+	all, err := readLogs(ev, ex.Files)
+	if err != nil {
+		return err
+	}
+	found := ex.selectLines(all)
+	if len(found) == 0 {
+		return inputErrorf("no line has the request_id %q; requests that meet their latency objective are logged at level debug only", ex.Request)
+	}
+	for _, ln := range found {
+		fmt.Fprintln(ev.Stdout, ln.text)
+	}
+	return nil
+}
+
+// readLogs reads the logs of several gateways and returns their lines by time.
+func readLogs(ev *Env, files []string) ([]logLine, error) {
 	var all []logLine
-	for _, file := range ex.Files {
+	for _, file := range files {
 		src, err := readFile(ev, file)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		lines, err := parseLog(file, src)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		all = append(all, lines...)
 	}
 	slices.SortStableFunc(all, func(aa, bb logLine) int { return aa.Time.Compare(bb.Time) })
-	found := ex.selectLines(all)
-	if len(found) == 0 {
-		return inputErrorf("no line has the request_id %q; requests that meet their latency objective are logged at level debug only", ex.Request)
-	}
-	for _, ln := range found {
-		fmt.Fprintln(ev.Stdout, ln.text)
-	}
-	return nil
+	return all, nil
 }
 
 // parseLog parses a log with one JSON object per line. It ignores the text before the first brace of a line, and lines
--- a/internal/cli/main.go
+++ b/internal/cli/main.go
@@ -21,6 +21,7 @@
 	Key      *KeyCommands    `arg:"subcommand:key" help:"issue, withdraw and list keys of teams"`
 	Drain    *Drain          `arg:"subcommand:drain" help:"mark a target, site, failure domain or region as drained in the files of a directory"`
 	Explain  *Explain        `arg:"subcommand:explain" help:"show what the logs of gateways say of a request"`
+	Losses   *Losses         `arg:"subcommand:losses" help:"count in the logs of gateways why requests got no response in time"`
 	Status   *Status         `arg:"subcommand:status" help:"show the entry VMs, their shares and free slots"`
 	Timeline *Timeline       `arg:"subcommand:timeline" help:"show the events of all entry VMs in causal order"`
 }
--- a/io/gateway/log.go
+++ b/io/gateway/log.go
@@ -13,9 +13,10 @@
 // debug.
 func (rq *request) logEnd(status int, rs Reason) {
 	took := time.Since(rq.started)
-	rq.sv.op.Metrics.countResult(rs, took)
-	level := slog.LevelDebug
 	late := rq.route != nil && float64(took) > lateRatio*float64(rq.route.LatencyObjective)
+	loss := lossOf(status, rs, late, rq.attempts, &rq.last)
+	rq.sv.op.Metrics.countResult(rs, loss, took)
+	level := slog.LevelDebug
 	if rs != "" || late || status >= 500 {
 		level = slog.LevelInfo
 	}
@@ -32,6 +33,9 @@
 	if rs != "" {
 		attrs = append(attrs, slog.String("reason", string(rs)))
 	}
+	if loss != "" {
+		attrs = append(attrs, slog.String("loss", string(loss)))
+	}
 	if rq.table != nil {
 		attrs = append(attrs, slog.Uint64("version", uint64(rq.table.Config.Version)))
 	}
--- a/io/gateway/metrics.go
+++ b/io/gateway/metrics.go
@@ -14,6 +14,7 @@
 type Metrics struct {
 	attempts map[placement.ResultKind]tally.Counter
 	results  map[Reason]tally.Counter
+	losses   map[Loss]tally.Counter
 	latency  tally.Histogram
 	dropped  tally.Counter
 }
@@ -54,7 +55,7 @@
 // NewMetrics creates the metrics of a gateway in a scope.
 func NewMetrics(sc tally.Scope) *Metrics {
 	mt := &Metrics{
-		attempts: map[placement.ResultKind]tally.Counter{}, results: map[Reason]tally.Counter{},
+		attempts: map[placement.ResultKind]tally.Counter{}, results: map[Reason]tally.Counter{}, losses: map[Loss]tally.Counter{},
 		latency: sc.Histogram("request_latency", latencyBuckets),
 		dropped: sc.Counter("log_lines_dropped"),
 	}
@@ -67,12 +68,18 @@
 	for rs := range statuses {
 		mt.results[rs] = sc.Tagged(map[string]string{"reason": string(rs)}).Counter("requests")
 	}
+	for _, ls := range allLosses {
+		mt.losses[ls] = sc.Tagged(map[string]string{"cause": string(ls)}).Counter("losses")
+	}
 	return mt
 }
 
 func (mt *Metrics) countAttempt(kind placement.ResultKind) { mt.attempts[kind].Inc(1) }
 
-func (mt *Metrics) countResult(rs Reason, took time.Duration) {
+func (mt *Metrics) countResult(rs Reason, loss Loss, took time.Duration) {
 	mt.results[rs].Inc(1)
+	if loss != "" {
+		mt.losses[loss].Inc(1)
+	}
 	mt.latency.RecordDuration(took)
 }
--- a/io/gateway/metrics_test.go
+++ b/io/gateway/metrics_test.go
@@ -21,7 +21,7 @@
 	mt := metrics.New()
 	gm := NewMetrics(mt.Scope)
 	gm.countAttempt(placement.Succeeded)
-	gm.countResult("", time.Second)
+	gm.countResult("", lossSlow, time.Second)
 	gm.dropped.Inc(1)
 	time.Sleep(metrics.ReportInterval + 200*time.Millisecond) // values become visible after an interval
 	rec := httptest.NewRecorder()
