--- a/core/placement/demand.go
+++ b/core/placement/demand.go
@@ -13,6 +13,9 @@
 	demandTimeConstant = 3 * time.Second
 	// minDemandInterval is the shortest time between two updates of the moving average.
 	minDemandInterval = 50 * time.Millisecond
+	// settleTime is the time after the first request for which the plan does not follow the measured demand yet. It is longer
+	// than reports take from one region to another.
+	settleTime = time.Second
 	// minDemand is the smallest demand of a pool, in busy slots, that the plan takes into account. Below it, equal demand of
 	// all regions is assumed.
 	minDemand = 0.5
@@ -56,6 +59,13 @@
 	dm.arrived, dm.measuredAt = workload.Demand{}, now
 }
 
+// settled reports whether requests have arrived for long enough that the demand of all regions is known. Shortly after a start of
+// this VM, the reports of other VMs may be missing or, if they have also just started, too low. A plan made from them would keep
+// too much work in a small region.
+func (dm *demandMeter) settled(now time.Time) bool {
+	return !dm.startedAt.IsZero() && now.Sub(dm.startedAt) >= settleTime
+}
+
 // moveAverage moves an average by the given weight towards the rate of the work that arrived in a time.
 func moveAverage(average, arrived *workload.Demand, passed time.Duration, weight float64) {
 	next := workload.Demand{Slots: average.Slots + weight*(arrived.Slots/passed.Seconds()-average.Slots)}
@@ -111,7 +121,7 @@
 			continue
 		}
 		need := demand[name]
-		if sumOfSlots(need) < minDemand || pl.plan.weights == nil && !coversAll(need, capacity) {
+		if sumOfSlots(need) < minDemand || !pl.demand.settled(now) {
 			need = assumedDemand(capacity)
 		}
 		want := desiredWeights(pc.op.Region, newRegionLoads(capacity, need))
@@ -139,17 +149,6 @@
 	return sum
 }
 
-// coversAll reports whether the demand of each region with capacity is known. Shortly after the start of a VM, other regions have
-// not reported yet, and a plan made without them would keep too much work in a small region.
-func coversAll(demand map[id.Region]workload.Demand, capacity map[id.Region]float64) bool {
-	for name := range capacity {
-		if _, ok := demand[name]; !ok {
-			return false
-		}
-	}
-	return true
-}
-
 // assumedDemand returns an equal demand for each region. It is used while the actual demand is unknown or negligible.
 func assumedDemand(capacity map[id.Region]float64) map[id.Region]workload.Demand {
 	var sum float64
--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -12,9 +12,9 @@
 const (
 	// localUtilization is the utilization of a region up to which it keeps all its own work.
 	localUtilization = 0.5
-	// shiftRate is the fraction of a region's work that may move between regions in a second. For fastShiftTime after the
-	// capacity of a region has changed by the fraction significantCapacityChange or more, fastShiftRate applies instead, so
-	// that work quickly leaves a region that lost capacity.
+	// shiftRate is the fraction of a region's work that may move between regions in a second. For fastShiftTime after the start
+	// of this VM, or after the capacity of a region has changed by the fraction significantCapacityChange or more, fastShiftRate
+	// applies instead, so that work quickly leaves a region that is too small for it.
 	shiftRate                 = 0.035
 	fastShiftRate             = 0.2
 	fastShiftTime             = 4 * time.Second
@@ -131,6 +131,9 @@
 	if demanded {
 		pn.lastDemandAt = now
 	}
+	if pn.weights == nil {
+		pn.capacityChangedAt = now
+	}
 	if pn.weights == nil || now.Sub(pn.lastDemandAt) > planIdleTime {
 		pn.weights, pn.excess, pn.updatedAt, pn.capacity = want, map[id.Region]float64{}, now, capacity
 		return
--- a/core/placement/plan_test.go
+++ b/core/placement/plan_test.go
@@ -27,6 +27,13 @@
 	return all
 }
 
+// afterFirstRequests lets requests arrive at a placer, and returns a later time at which the demand of all regions is known.
+func afterFirstRequests(pc *placement.Placer) time.Time {
+	pc.CountArrival(request("x"))
+	pc.Demand(start)
+	return start.Add(2 * time.Second)
+}
+
 // Guards against a small region that fills up with work that could run elsewhere, while requests of a team that must run there
 // are refused.
 func TestPlanLeavesRoomForBoundWork(t *testing.T) {
@@ -36,10 +43,11 @@
 		demand := map[id.Region]workload.Demand{
 			"north": {Slots: 7, Bound: map[id.Region]float64{"north": 3}}, "south": {Slots: 10, Bound: map[id.Region]float64{"north": 3}},
 		}
-		pc.UpdatePlan(start, map[id.Pool]map[id.Region]workload.Demand{"desk": demand})
-		So(shares(pc, start, request)["south"], ShouldBeGreaterThan, 0.95)
+		now := afterFirstRequests(pc)
+		pc.UpdatePlan(now, map[id.Pool]map[id.Region]workload.Demand{"desk": demand})
+		So(shares(pc, now, request)["south"], ShouldBeGreaterThan, 0.95)
 		Convey("requests of the team still go there", func() {
-			So(shares(pc, start, func(object string) *placement.Request {
+			So(shares(pc, now, func(object string) *placement.Request {
 				rq := request(object)
 				rq.Allowed = func(rg id.Region) bool { return rg == "north" }
 				return rq
@@ -50,8 +58,9 @@
 		pc := newPlacer("a")
 		pc.SetTargets(start, append(targets(2, "north"), targets(8, "south")...))
 		demand := map[id.Region]workload.Demand{"north": {Slots: 7}, "south": {Slots: 10}}
-		pc.UpdatePlan(start, map[id.Pool]map[id.Region]workload.Demand{"desk": demand})
-		So(shares(pc, start, request)["north"], ShouldBeGreaterThan, 0.3)
+		now := afterFirstRequests(pc)
+		pc.UpdatePlan(now, map[id.Pool]map[id.Region]workload.Demand{"desk": demand})
+		So(shares(pc, now, request)["north"], ShouldBeGreaterThan, 0.3)
 	})
 }
 
@@ -79,13 +88,34 @@
 	})
 }
 
-// Guards against a plan that a VM makes right after its start from the demand of its own region alone: a small region would keep
-// work that it can't handle until the plan has moved away.
-func TestFirstPlanWithoutOtherRegions(t *testing.T) {
-	Convey("only the own, small region has reported", t, func() {
+// Guards against a plan that a VM of a small region makes right after its start, while the reports of other regions are missing
+// or too low: the region would keep work that it can't handle for as long as the plan takes to move it away.
+func TestPlanAfterStart(t *testing.T) {
+	Convey("all VMs have just started", t, func() {
 		pc := newPlacer("a")
 		pc.SetTargets(start, append(targets(2, "north"), targets(8, "south")...))
-		pc.UpdatePlan(start, map[id.Pool]map[id.Region]workload.Demand{"desk": {"north": {Slots: 0.7}}})
-		So(shares(pc, start, request)["north"], ShouldAlmostEqual, 0.4, 0.1)
+		update := func(now time.Time, north, south float64) {
+			pc.Demand(now)
+			pc.UpdatePlan(now, map[id.Pool]map[id.Region]workload.Demand{"desk": {"north": {Slots: north}, "south": {Slots: south}}})
+		}
+		now := start
+		for range 10 {
+			for range 2 {
+				pc.CountArrival(request("x"))
+			}
+			update(now, 0.7, 0)
+			now = now.Add(100 * time.Millisecond)
+		}
+		So(shares(pc, now, request)["north"], ShouldAlmostEqual, 0.4, 0.1)
+		Convey("the plan soon follows the measured demand", func() {
+			for range 25 {
+				for range 2 {
+					pc.CountArrival(request("x"))
+				}
+				update(now, 20, 12)
+				now = now.Add(100 * time.Millisecond)
+			}
+			So(shares(pc, now, request)["north"], ShouldAlmostEqual, 0.32, 0.1)
+		})
 	})
 }
