--- a/io/gateway/members.go
+++ b/io/gateway/members.go
@@ -106,18 +106,17 @@
 	if known && (ct.allAlive(now, members) || now.Sub(ct.started) > peerWaitTime) && !ct.ready.Swap(true) {
 		ct.Log.Info("gateway is ready for requests", "version", uint64(ct.version), "after_ms", now.Sub(ct.started).Milliseconds())
 	}
-	dr := &directory{}
+	var ready []roster.Peer
 	if ct.Ready() {
-		dr.vms = append(dr.vms, newEntry(ct.self))
+		ready = append(ready, ct.self)
 	}
 	for nr := range members {
 		mb := &members[nr]
 		if mb.Alive(now) && mb.State.Has(roster.Ready) && !mb.State.Has(roster.Leaving) {
-			dr.vms = append(dr.vms, newEntry(mb.Peer))
+			ready = append(ready, mb.Peer)
 		}
 	}
-	slices.SortFunc(dr.vms, func(aa, bb entry) int { return cmp.Compare(aa.address, bb.address) })
-	ct.lookup.Store(dr)
+	ct.lookup.Store(newDirectory(ready))
 }
 
 func (ct *Controller) allAlive(now time.Time, members []roster.Member) bool {
@@ -130,10 +129,10 @@
 }
 
 // Entries implements Directory. It returns no addresses before the first update of the directory.
-func (ct *Controller) Entries(fd id.FailureDomain, rg id.Region) ([]string, time.Duration) {
+func (ct *Controller) Entries(_ id.FailureDomain, rg id.Region) ([]string, time.Duration) {
 	dr := ct.lookup.Load()
 	if dr == nil {
 		return nil, lookupTTL
 	}
-	return dr.entries(fd, rg), lookupTTL
+	return dr.entries(rg), lookupTTL
 }
