--- a/internal/cli/losses.go
+++ b/internal/cli/losses.go
@@ -77,8 +77,9 @@
 		return err
 	}
 	lt := &lossTable{counts: map[lossKey]int{}}
+	start := firstTime(lines)
 	for nr := range lines {
-		if err := ls.count(lt, &lines[nr], lines[0].Time); err != nil {
+		if err := ls.count(lt, &lines[nr], start); err != nil {
 			return err
 		}
 	}
@@ -86,6 +87,15 @@
 	return nil
 }
 
+// firstTime returns the time of the first line that has one.
+func firstTime(lines []logLine) time.Time {
+	at := slices.IndexFunc(lines, func(ln logLine) bool { return !ln.Time.IsZero() })
+	if at < 0 {
+		return time.Time{}
+	}
+	return lines[at].Time
+}
+
 // count counts the requests that a line of a log reports as lost. The first window begins at start.
 func (ls *Losses) count(lt *lossTable, ln *logLine, start time.Time) error {
 	if ln.Loss == "" && ln.Message != droppedMessage {
@@ -110,6 +120,9 @@
 func (ls *Losses) row(ln *logLine, start time.Time) (string, error) {
 	switch ls.By {
 	case "window":
+		if ln.Time.IsZero() {
+			return "", nil // the line that counts dropped lines has no time
+		}
 		window := ln.Time.Sub(start).Truncate(ls.Window)
 		return strconv.FormatFloat(window.Seconds(), 'f', -1, 64) + "s", nil
 	case "route":
