Revert "Eject silent targets at once and tell other VMs of them"

Ruled out as a gain: since callers use 12 VMs instead of 58, each VM finds silent targets fast enough, and an ejection costs what the target knows of its objects.

--- a/core/placement/feedback.go
+++ b/core/placement/feedback.go
@@ -16,12 +16,6 @@
 	maxEjection = 8 * time.Second
 	// breaksToEject is the number of consecutive broken connections after which a target is ejected.
 	breaksToEject = 3
-	// maxSilentFraction is the fraction of the targets of a pool that may be out of use when a silent one is ejected. If more are
-	// silent, this VM or the network is more likely to be at fault.
-	maxSilentFraction = 0.3
-	// ejectedLoad is the load that is reported for an ejected target, as a multiple of its slots. It makes other VMs prefer other
-	// targets until they have evidence of their own.
-	ejectedLoad = 4
 )
 
 // Done records the result of an attempt. It must be called once for each choice that Pick returned. A result is ignored if the
@@ -53,14 +47,6 @@
 		ts.misplaced = true
 	case Unreached:
 		ts.eject(now)
-	case Silent:
-		if rs.Latency < ch.patience {
-			break // the caller's deadline was short
-		}
-		ts.failureRate += failureWeight * (1 - ts.failureRate)
-		if pc.pool(ts.Pool).ejectedFraction(now) <= maxSilentFraction {
-			ts.eject(now)
-		}
 	case Broken:
 		ts.failureRate += failureWeight * (1 - ts.failureRate)
 		if ts.consecutiveFailures++; ts.consecutiveFailures >= breaksToEject {
@@ -107,17 +93,6 @@
 	ts.ejectedUntil, ts.probing = now.Add(pause), true
 }
 
-// ejectedFraction returns the fraction of the targets that are ejected.
-func (pl *pool) ejectedFraction(now time.Time) float64 {
-	num := 0
-	for _, ts := range pl.targets {
-		if now.Before(ts.ejectedUntil) {
-			num++
-		}
-	}
-	return float64(num) / float64(max(len(pl.targets), 1))
-}
-
 // ApplyReports applies the target loads that another VM reports. A report is ignored if the last report of the target is not
 // older than staleReport.
 func (pc *Placer) ApplyReports(now time.Time, loads []LoadReport) {
@@ -139,26 +114,15 @@
 // staleReport is the age above which the last report of a target is replaced by a report from another VM.
 const staleReport = 300 * time.Millisecond
 
-// LoadReports returns the loads of the targets that have reported to this VM directly since the given time. Ejected targets are
-// reported as overloaded, unless so many are that this VM may have lost its own connections.
-func (pc *Placer) LoadReports(now, since time.Time) []LoadReport {
+// LoadReports returns the loads of the targets that have reported to this VM directly since the given time.
+func (pc *Placer) LoadReports(since time.Time) []LoadReport {
 	pc.mu.Lock()
 	defer pc.mu.Unlock()
 	var all []LoadReport
-	for _, pl := range pc.pools {
-		reportEjected := pl.ejectedFraction(now) <= maxSilentFraction
-		for _, ts := range pl.targets {
-			total := ts.ownInFlight + int(ts.othersInFlight+0.5)
-			switch {
-			case now.Before(ts.ejectedUntil):
-				if !reportEjected {
-					continue
-				}
-				total = ejectedLoad * ts.Slots
-			case !ts.directReportAt.After(since):
-				continue
-			}
-			all = append(all, LoadReport{Target: uint32(ts.hash), Total: uint16(min(total, math.MaxUint16))})
+	for _, ts := range pc.targets {
+		if ts.directReportAt.After(since) {
+			total := min(ts.ownInFlight+int(ts.othersInFlight+0.5), math.MaxUint16)
+			all = append(all, LoadReport{Target: uint32(ts.hash), Total: uint16(total)})
 		}
 	}
 	return all
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -224,9 +224,8 @@
 	if !ok {
 		return Choice{}, &Refusal{Reason: NoTarget, RetryAfter: noTargetRetryAfter, Region: region}
 	}
-	rh := pl.history(rq)
 	ch := Choice{
-		Target: ts.Target, ExpectedWait: wait, HedgeDelay: rh.hedgeDelay(wait, rq.Remaining), patience: rh.patience(wait),
+		Target: ts.Target, ExpectedWait: wait, HedgeDelay: hedgeDelay(pl.history(rq), wait, rq.Remaining),
 		InFlight: int(ts.inFlight(now)), KnowsObject: cd.known, Cold: now.Before(ts.coldUntil), object: object,
 	}
 	if !cd.acceptable {
@@ -240,17 +239,13 @@
 	return ch, nil
 }
 
-// patience returns the time that a target rarely needs, even for an object that it does not know.
-func (rh *routeHistory) patience(wait time.Duration) time.Duration {
-	return wait + time.Duration(hedgeMargin*float64(rh.unknown))
-}
-
 // hedgeDelay returns the time after which a request without a response may also be sent to a second target. It is longer than
 // the target usually takes for an object that it does not know, because a second run of a request that is only slow takes
 // capacity from other requests. It leaves enough of the remaining time for a second target that knows the object, but is at
 // least a third of the remaining time.
-func (rh *routeHistory) hedgeDelay(wait, remaining time.Duration) time.Duration {
-	return max(min(rh.patience(wait), remaining-rh.known), remaining/3)
+func hedgeDelay(rh *routeHistory, wait, remaining time.Duration) time.Duration {
+	usual := wait + time.Duration(hedgeMargin*float64(rh.unknown))
+	return max(min(usual, remaining-rh.known), remaining/3)
 }
 
 // acceptableWait reports whether a request may be sent to a target where it waits for the given time. The limit does not depend
--- a/core/placement/target.go
+++ b/core/placement/target.go
@@ -41,7 +41,6 @@
 	KnowsObject  bool          // the target probably knows the object of the request
 	Cold         bool          // the target has started recently
 	object       uint64        // hash of the route and the object
-	patience     time.Duration // time after which a target without a response is silent
 }
 
 // Reason tells why no target was chosen for a request.
@@ -72,8 +71,7 @@
 	Shed      ResultKind = "shed"      // the target rejected the request for lack of capacity and did not run it
 	Misplaced ResultKind = "misplaced" // a different target responded at the address; the request did not run
 	Unreached ResultKind = "unreached" // no connection could be made
-	Broken    ResultKind = "broken"    // the connection broke
-	Silent    ResultKind = "silent"    // no response in time, or none before that of a target that was asked later
+	Broken    ResultKind = "broken"    // the connection broke or there was no response in time
 	Dropped   ResultKind = "dropped"   // the attempt was canceled; this says nothing about the target
 )
 
@@ -90,7 +88,7 @@
 // Result is the outcome of an attempt.
 type Result struct {
 	Kind    ResultKind
-	Latency time.Duration // time that the attempt took; used if it succeeded or the target was silent
+	Latency time.Duration // used if the attempt succeeded
 	Bytes   int64         // size of the response body, used if the attempt succeeded
 	Load    *Load         // nil if the target reported none
 }
--- a/io/gateway/attempt.go
+++ b/io/gateway/attempt.go
@@ -20,9 +20,6 @@
 // may belong to another request.
 var errForeignResponse = errors.New("the response belongs to another request, or is a success that no target signed")
 
-// errOvertaken is the cause for which an attempt is canceled after a target that was asked later has responded.
-var errOvertaken = errors.New("a target that was asked later has responded")
-
 // outcome is the result of one attempt.
 type outcome struct {
 	target     id.Target
@@ -62,9 +59,6 @@
 	var oc *outcome
 	if err != nil {
 		oc = rq.classifyError(err)
-		if errors.Is(context.Cause(ctx), errOvertaken) {
-			oc.kind = placement.Silent
-		}
 	} else {
 		oc = rq.readResponse(ctx, lk, resp)
 	}
@@ -177,7 +171,6 @@
 	case target.Canceled:
 		oc.kind = placement.Dropped
 	case target.TimedOut:
-		oc.kind = placement.Silent
 		if !oc.mayHaveRun {
 			oc.kind = placement.Unreached
 		}
--- a/io/gateway/forward.go
+++ b/io/gateway/forward.go
@@ -59,7 +59,7 @@
 		return rq.attempt(rq.ctx, &ch)
 	}
 	rc := &hedge{rq: rq, done: make(chan *outcome, 2)}
-	ctx, cancel := context.WithCancelCause(rq.ctx)
+	ctx, cancel := context.WithCancel(rq.ctx)
 	rc.cancel = append(rc.cancel, cancel)
 	go rc.run(ctx, &ch)
 	tm := time.NewTimer(ch.HedgeDelay)
--- a/io/gateway/hedge.go
+++ b/io/gateway/hedge.go
@@ -11,7 +11,7 @@
 type hedge struct {
 	rq     *request
 	done   chan *outcome
-	cancel []context.CancelCauseFunc
+	cancel []context.CancelFunc
 }
 
 func (rc *hedge) run(ctx context.Context, ch *placement.Choice) { rc.done <- rc.rq.attempt(ctx, ch) }
@@ -29,7 +29,7 @@
 		return rc.finish(<-rc.done)
 	}
 	rq.recordAttempt(&ch)
-	ctx, cancel := context.WithCancelCause(rq.ctx)
+	ctx, cancel := context.WithCancel(rq.ctx)
 	rc.cancel = append(rc.cancel, cancel)
 	go rc.run(ctx, &ch)
 	oc := <-rc.done
@@ -38,10 +38,8 @@
 		oc = <-rc.done
 		return rc.finish(oc)
 	}
-	if oc.target == ch.ID {
-		rc.cancel[0](errOvertaken)
-	}
-	return rc.finish(oc)
+	rc.finish(oc)
+	return oc
 }
 
 // finish cancels both attempts, but only after the body of the chosen response is closed if it is still being streamed.
@@ -56,6 +54,6 @@
 
 func (rc *hedge) cancelAll() {
 	for _, cancel := range rc.cancel {
-		cancel(nil)
+		cancel()
 	}
 }
--- a/io/gateway/metrics.go
+++ b/io/gateway/metrics.go
@@ -60,7 +60,7 @@
 		dropped: sc.Counter("log_lines_dropped"),
 	}
 	for _, kind := range []placement.ResultKind{
-		placement.Succeeded, placement.Failed, placement.Shed, placement.Misplaced, placement.Unreached, placement.Broken, placement.Silent, placement.Dropped,
+		placement.Succeeded, placement.Failed, placement.Shed, placement.Misplaced, placement.Unreached, placement.Broken, placement.Dropped,
 	} {
 		mt.attempts[kind] = sc.Tagged(map[string]string{"kind": string(kind)}).Counter("target_attempts")
 	}
--- a/io/gateway/reports.go
+++ b/io/gateway/reports.go
@@ -92,7 +92,7 @@
 	for kind, rev := range ct.latestChanges {
 		rp.Changes[string(kind)] = int64(max(rev, ct.progress[kind].announced))
 	}
-	for _, ld := range ct.Placer.LoadReports(now, ct.lastReport) {
+	for _, ld := range ct.Placer.LoadReports(ct.lastReport) {
 		rp.Loads = append(rp.Loads, roster.Load{Target: ld.Target, Total: ld.Total})
 	}
 	ct.lastReport = now
