--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -9,11 +9,9 @@
 )
 
 const (
-	// rateFraction and burstFraction are the fractions of a limit that are distributed, and slackFraction is the
-	// distributed fraction of the tolerated excess over bursts. The rest is a reserve: VMs that were restarted,
-	// suspended or partitioned see a different fleet than the others for some time.
-	rateFraction  = 1
-	burstFraction = 1
+	// slackFraction is the fraction of the tolerated excess over bursts that is distributed in addition to the limits. The
+	// rest is a reserve: VMs that were restarted, suspended or partitioned see a different fleet than the others for some
+	// time.
 	slackFraction = 0.6
 	// loanLifetime is the time after which borrowed tokens expire. Tokens that are lent leave room for new ones in
 	// the lender's bucket, so all shares together can exceed the burst by the tokens that accrue in this time.
@@ -114,8 +112,8 @@
 	}
 	shares := float64(lg.shares)
 	// A bucket smaller than a token would never admit a request.
-	size := max((burstFraction*ac.limit.Burst+slackFraction*lg.slack)/shares, 1)
-	ac.bucket.setLimit(now, rateFraction*ac.limit.Rate/shares, size)
+	size := max((ac.limit.Burst+slackFraction*lg.slack)/shares, 1)
+	ac.bucket.setLimit(now, ac.limit.Rate/shares, size)
 }
 
 // DiscardTokens empties all buckets and drops all loans. It is called when this VM may have missed a change of
