Warm up cold targets from their own region only; drop the preference of large responses

Cause: each VM counted only the VMs of its own region, so up to three VMs of every region each used a third of 0.85 of the warm-up rate: 2.55 times the rate where 1.5 and a slack are allowed.

--- a/core/placement/feedback.go
+++ b/core/placement/feedback.go
@@ -9,7 +9,7 @@
 
 const (
 	failureWeight = 0.15 // weight of one result in the moving average of the failure rate
-	serviceWeight = 0.1  // weight of one response in the moving averages of a route
+	serviceWeight = 0.1  // weight of one response in the moving average of the service time
 	// An ejected target is out of use for minEjection, doubled for each consecutive failure (the first included), but for
 	// maxEjection at most.
 	minEjection = 500 * time.Millisecond
@@ -62,25 +62,21 @@
 func (pc *Placer) recordSuccess(ts *targetState, route id.Route, rs Result) {
 	ts.consecutiveFailures, ts.probing = 0, false
 	ts.failureRate -= failureWeight * ts.failureRate
-	rh := pc.pool(ts.Pool).routes[route]
-	if rh == nil {
+	sv := pc.pool(ts.Pool).serviceTimes[route]
+	if sv == nil || rs.Load != nil && rs.Load.Waiting > 0 {
 		return
 	}
-	rh.responseBytes += serviceWeight * (float64(rs.Bytes) - rh.responseBytes)
-	if rs.Load != nil && rs.Load.Waiting > 0 {
-		return
-	}
-	rh.observe(rs.Latency)
-	rh.mean += time.Duration(serviceWeight * float64(rs.Latency-rh.mean))
+	sv.observe(rs.Latency)
+	sv.mean += time.Duration(serviceWeight * float64(rs.Latency-sv.mean))
 }
 
 // observe updates the average for known or for unknown objects, whichever is closer to the time that a request took. The time
 // is the only evidence of whether the target knew the object: a VM does not see which objects other VMs sent to the target,
 // and a new target knows no objects at first.
-func (rh *routeHistory) observe(took time.Duration) {
-	mean := &rh.known
-	if took > (rh.known+rh.unknown)/2 {
-		mean = &rh.unknown
+func (sv *serviceTimes) observe(took time.Duration) {
+	mean := &sv.known
+	if took > (sv.known+sv.unknown)/2 {
+		mean = &sv.unknown
 	}
 	*mean += time.Duration(serviceWeight * float64(took-*mean))
 }
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -15,8 +15,8 @@
 	// knows, and for requests on other objects.
 	initialKnownFraction   = 0.4
 	initialUnknownFraction = 1.2
-	// largeBody is the size in bytes of the request body or of the usual response body from which a request prefers its own
-	// region and failure domain, to save bandwidth between them.
+	// largeBody is the body size in bytes from which a request prefers its own region and failure domain, to save bandwidth
+	// between them.
 	largeBody = 16 << 10
 	// The longest acceptable wait at a target, as a fraction of the latency objective, for urgent and for other requests. The
 	// limit for urgent requests is higher, so that they are still accepted when other requests are refused under load.
@@ -45,7 +45,7 @@
 	op Options
 
 	mu          sync.Mutex
-	vms         []id.VM // alive, this one included
+	vms         map[id.Region][]id.VM // alive, this one included
 	started     bool
 	targets     map[id.Target]*targetState
 	byShortHash map[uint32]*targetState // by the low 32 bits of the hash
@@ -63,30 +63,27 @@
 
 // pool holds the targets of a pool and what this VM has learned about its work.
 type pool struct {
-	targets []*targetState
-	regions map[id.Region][]*targetState
-	plan    plan
-	routes  map[id.Route]*routeHistory
-	demand  demandMeter
+	targets      []*targetState
+	regions      map[id.Region][]*targetState
+	plan         plan
+	serviceTimes map[id.Route]*serviceTimes
+	demand       demandMeter
 }
 
-// routeHistory holds moving averages over the requests of a route.
-type routeHistory struct {
-	// The time that a target takes for requests on objects that it knows, for requests on other objects, and for all requests.
-	known, unknown, mean time.Duration
-	responseBytes        float64
-}
+// serviceTimes holds moving averages of the time that a target takes for requests of a route: for requests on objects that the
+// target knows, for requests on other objects, and for all requests.
+type serviceTimes struct{ known, unknown, mean time.Duration }
 
 // New returns a Placer without targets.
 func New(op Options) *Placer {
 	return &Placer{
-		op: op, vms: []id.VM{op.Self}, targets: map[id.Target]*targetState{}, pools: map[id.Pool]*pool{},
+		op: op, vms: map[id.Region][]id.VM{op.Region: {op.Self}}, targets: map[id.Target]*targetState{}, pools: map[id.Pool]*pool{},
 		warmups: map[id.Pool]Warmup{}, evacuated: map[id.FailureDomain]bool{},
 	}
 }
 
-// SetVMs sets the live VMs that share the work for cold targets, including this one.
-func (pc *Placer) SetVMs(vms []id.VM) {
+// SetVMs sets the live VMs of each region, including this one. They share the work for cold targets.
+func (pc *Placer) SetVMs(vms map[id.Region][]id.VM) {
 	pc.mu.Lock()
 	defer pc.mu.Unlock()
 	pc.vms = vms
@@ -164,29 +161,24 @@
 func (pc *Placer) pool(name id.Pool) *pool {
 	pl := pc.pools[name]
 	if pl == nil {
-		pl = &pool{regions: map[id.Region][]*targetState{}, routes: map[id.Route]*routeHistory{}}
+		pl = &pool{regions: map[id.Region][]*targetState{}, serviceTimes: map[id.Route]*serviceTimes{}}
 		pc.pools[name] = pl
 	}
 	return pl
 }
 
-// history returns the history of the request's route. The service times start from fractions of the latency objective.
-func (pl *pool) history(rq *Request) *routeHistory {
-	rh := pl.routes[rq.Route]
-	if rh == nil {
-		rh = &routeHistory{
+// serviceTimesFor returns the service times of the request's route. They start from fractions of the latency objective.
+func (pl *pool) serviceTimesFor(rq *Request) *serviceTimes {
+	sv := pl.serviceTimes[rq.Route]
+	if sv == nil {
+		sv = &serviceTimes{
 			known:   time.Duration(initialKnownFraction * float64(rq.Objective)),
 			unknown: time.Duration(initialUnknownFraction * float64(rq.Objective)),
 			mean:    rq.Objective,
 		}
-		pl.routes[rq.Route] = rh
+		pl.serviceTimes[rq.Route] = sv
 	}
-	return rh
-}
-
-// isLarge reports whether the body of the request or its response is likely to be large.
-func (pl *pool) isLarge(rq *Request) bool {
-	return rq.Size >= largeBody || pl.history(rq).responseBytes >= largeBody
+	return sv
 }
 
 // CountArrival adds a request to the demand of its pool. It must be called once for each request, not for each attempt.
@@ -194,7 +186,7 @@
 	pc.mu.Lock()
 	defer pc.mu.Unlock()
 	pl := pc.pool(rq.Pool)
-	pl.demand.add(pl.history(rq).mean, pl.boundRegions(rq))
+	pl.demand.add(pl.serviceTimesFor(rq).mean, pl.boundRegions(rq))
 }
 
 // Pick chooses a target for an attempt of the request and counts the attempt as in flight there. The caller must call Done when
@@ -204,8 +196,8 @@
 	defer pc.mu.Unlock()
 	pl := pc.pool(rq.Pool)
 	object := rendezvous.Hash(string(rq.Route), rq.Object)
-	if pl.isLarge(rq) && pc.regionUsable(now, pl, rq, pc.op.Region) {
-		// A large request or response leaves the region only if the region is full, to save bandwidth between regions.
+	if rq.Size >= largeBody && pc.regionUsable(now, pl, rq, pc.op.Region) {
+		// A request with a large body leaves the region only if the region is full, to save bandwidth between regions.
 		if ch, rf := pc.pickInRegion(now, pl, rq, object, pc.op.Region); rf == nil {
 			return ch, nil
 		}
@@ -225,7 +217,7 @@
 		return Choice{}, &Refusal{Reason: NoTarget, RetryAfter: noTargetRetryAfter, Region: region}
 	}
 	ch := Choice{
-		Target: ts.Target, ExpectedWait: wait, HedgeDelay: hedgeDelay(pl.history(rq), wait, rq.Remaining),
+		Target: ts.Target, ExpectedWait: wait, HedgeDelay: hedgeDelay(pl.serviceTimesFor(rq), wait, rq.Remaining),
 		InFlight: int(ts.inFlight(now)), KnowsObject: cd.known, Cold: now.Before(ts.coldUntil), object: object,
 	}
 	if !cd.acceptable {
@@ -243,9 +235,9 @@
 // the target usually takes for an object that it does not know, because a second run of a request that is only slow takes
 // capacity from other requests. It leaves enough of the remaining time for a second target that knows the object, but is at
 // least a third of the remaining time.
-func hedgeDelay(rh *routeHistory, wait, remaining time.Duration) time.Duration {
-	usual := wait + time.Duration(hedgeMargin*float64(rh.unknown))
-	return max(min(usual, remaining-rh.known), remaining/3)
+func hedgeDelay(sv *serviceTimes, wait, remaining time.Duration) time.Duration {
+	usual := wait + time.Duration(hedgeMargin*float64(sv.unknown))
+	return max(min(usual, remaining-sv.known), remaining/3)
 }
 
 // acceptableWait reports whether a request may be sent to a target where it waits for the given time. The limit does not depend
@@ -293,14 +285,27 @@
 		return false
 	}
 	if now.Before(ts.coldUntil) {
-		return ts.coldPacer.ready(now) && sendsToCold(ts.hash, pc.op.Self, pc.vms)
+		return ts.coldPacer.ready(now) && sendsToCold(ts.hash, pc.op.Self, pc.warmingVMs(ts))
 	}
 	return true
 }
 
+// warmingVMs returns the VMs of which some warm up the target: those of its region, or all VMs if there are none. VMs of other
+// regions send nothing to a cold target, because each region would use the whole warm-up rate.
+func (pc *Placer) warmingVMs(ts *targetState) []id.VM {
+	if vms := pc.vms[ts.Region]; len(vms) > 0 {
+		return vms
+	}
+	var all []id.VM
+	for _, vms := range pc.vms {
+		all = append(all, vms...)
+	}
+	return all
+}
+
 // coldRatePerVM returns the rate in requests a second at which each VM that warms up the target may send to it.
 func (pc *Placer) coldRatePerVM(ts *targetState) float64 {
-	return pc.warmups[ts.Pool].Rate * coldRateFraction / float64(min(vmsPerColdTarget, max(len(pc.vms), 1)))
+	return pc.warmups[ts.Pool].Rate * coldRateFraction / float64(min(vmsPerColdTarget, max(len(pc.warmingVMs(ts)), 1)))
 }
 
 // candidate is a target that a request may be sent to.
@@ -328,8 +333,8 @@
 // that do not know the object are considered only if most of their slots are free: the work takes several times as long there,
 // and spreading objects over all targets under load would displace the objects that the targets know.
 func (pc *Placer) lowestCost(now time.Time, pl *pool, targets []*targetState, rq *Request, object uint64) (best candidate, ok bool) {
-	rh := pl.history(rq)
-	preferLocal := pl.isLarge(rq)
+	sv := pl.serviceTimesFor(rq)
+	preferLocal := rq.Size >= largeBody
 	pc.rankBuffer = rankByHash(targets, object, pc.rankBuffer)
 	first := true
 	for _, rk := range pc.rankBuffer {
@@ -340,11 +345,11 @@
 		if !pc.eligible(now, ts, rq) {
 			continue
 		}
-		cd := candidate{target: ts, wait: ts.expectedWait(now, rh.known)}
+		cd := candidate{target: ts, wait: ts.expectedWait(now, sv.known)}
 		cd.known = (preferred || ts.recent.contains(now, object)) && !now.Before(ts.coldUntil)
-		service := rh.unknown
+		service := sv.unknown
 		if cd.known {
-			service = rh.known
+			service = sv.known
 		} else if !preferred && ts.inFlight(now)+1 > idleFraction*float64(ts.Slots) {
 			continue
 		}
--- a/core/placement/placer_test.go
+++ b/core/placement/placer_test.go
@@ -70,7 +70,7 @@
 		for _, vm := range vms {
 			pc := newPlacer(vm)
 			pc.SetWarmups(map[id.Pool]placement.Warmup{"desk": {Period: 10 * time.Second, Rate: rate}})
-			pc.SetVMs(vms)
+			pc.SetVMs(map[id.Region][]id.VM{"north": vms})
 			pc.SetTargets(start, tgs)
 			placers = append(placers, pc)
 		}
@@ -93,6 +93,45 @@
 	}
 }
 
+// Guards against VMs of several regions that each send a cold target as much as it can handle, when the plan moves work to its
+// region.
+func TestColdTargetRateFromAllRegions(t *testing.T) {
+	const rate = 7.0
+	vms := map[id.Region][]id.VM{}
+	var placers []*placement.Placer
+	for _, rg := range []id.Region{"north", "south", "west"} {
+		for nr := range 4 {
+			vm := id.VM(fmt.Sprint(rg, "-", nr))
+			vms[rg] = append(vms[rg], vm)
+			placers = append(placers, placement.New(placement.Options{Self: vm, FailureDomain: id.FailureDomain(rg) + "-a", Region: rg}))
+		}
+	}
+	tgs := targets(2, "north")
+	tgs[0].ColdFor = 10 * time.Second
+	for _, pc := range placers {
+		pc.SetWarmups(map[id.Pool]placement.Warmup{"desk": {Period: 10 * time.Second, Rate: rate}})
+		pc.SetVMs(vms)
+		pc.SetTargets(start, tgs)
+	}
+	cold := 0
+	for ms := 0; ms < 1000; ms += 5 {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		for _, pc := range placers {
+			ch, rf := pc.Pick(now, request(fmt.Sprint(ms)))
+			if rf != nil {
+				continue
+			}
+			if ch.ID == tgs[0].ID {
+				cold++
+			}
+			pc.Done(now, &ch, "read", placement.Result{Kind: placement.Succeeded})
+		}
+	}
+	if cold == 0 || float64(cold) > rate*1.5+1 {
+		t.Errorf("the cold target gets %d requests in the first second, its rate is %g", cold, rate)
+	}
+}
+
 // Guards against requests to targets that are draining, evacuated, replaced at their address, unreachable or in a region that
 // the request must not use.
 func TestUnusableTargets(t *testing.T) {
--- a/core/placement/target.go
+++ b/core/placement/target.go
@@ -89,7 +89,6 @@
 type Result struct {
 	Kind    ResultKind
 	Latency time.Duration // used if the attempt succeeded
-	Bytes   int64         // size of the response body, used if the attempt succeeded
 	Load    *Load         // nil if the target reported none
 }
 
--- a/core/placement/warmup.go
+++ b/core/placement/warmup.go
@@ -32,11 +32,11 @@
 // ready reports whether the current interval has ended.
 func (pa *pacer) ready(now time.Time) bool { return !now.Before(pa.next) }
 
-// sendsToCold reports whether the VM self is one of the vmsPerColdTarget VMs that send requests to a cold target. They are the
-// VMs with the highest rendezvous weight for the hash of the target, so all VMs agree on them.
+// sendsToCold reports whether the VM self is one of the vmsPerColdTarget of the given VMs that send requests to a cold target.
+// They are the VMs with the highest rendezvous weight for the hash of the target, so all VMs agree on them.
 func sendsToCold(target uint64, self id.VM, vms []id.VM) bool {
-	if len(vms) <= vmsPerColdTarget {
-		return true
+	if !slices.Contains(vms, self) {
+		return false
 	}
 	mine := rendezvous.Weight(target, self)
 	higher := 0
--- a/io/gateway/attempt.go
+++ b/io/gateway/attempt.go
@@ -36,14 +36,6 @@
 	spurious bool
 }
 
-// bytes returns the size of the response body, as far as it is known before the body is read completely.
-func (oc *outcome) bytes() int64 {
-	if oc.resp == nil {
-		return 0
-	}
-	return max(oc.resp.ContentLength, int64(len(oc.body)))
-}
-
 func (oc *outcome) discard() {
 	if oc.stream != nil {
 		oc.stream.Close()
@@ -66,7 +58,7 @@
 	if oc.mayHaveRun {
 		rq.mayHaveRun.Store(true)
 	}
-	done := &attemptReporter{rq: rq, ch: *ch, latency: time.Since(sent), bytes: oc.bytes(), load: oc.info.Load}
+	done := &attemptReporter{rq: rq, ch: *ch, latency: time.Since(sent), load: oc.info.Load}
 	if oc.stream == nil {
 		cancel()
 		done.report(oc.kind)
@@ -81,14 +73,13 @@
 	rq      *request
 	ch      placement.Choice
 	latency time.Duration
-	bytes   int64
 	load    *placement.Load
 	once    sync.Once
 }
 
 func (ae *attemptReporter) report(kind placement.ResultKind) {
 	ae.once.Do(func() {
-		ae.rq.sv.op.Placer.Done(time.Now(), &ae.ch, ae.rq.route.Name, placement.Result{Kind: kind, Latency: ae.latency, Bytes: ae.bytes, Load: ae.load})
+		ae.rq.sv.op.Placer.Done(time.Now(), &ae.ch, ae.rq.route.Name, placement.Result{Kind: kind, Latency: ae.latency, Load: ae.load})
 		ae.rq.sv.op.Metrics.countAttempt(kind)
 	})
 }
--- a/io/gateway/members.go
+++ b/io/gateway/members.go
@@ -39,10 +39,10 @@
 	ct.Placer.ApplyReports(now, reports)
 }
 
-// updateMembers tells the placer which VMs of the region are alive, and decides whether this VM reads the store on behalf of
+// updateMembers tells the placer which VMs are alive, and decides whether this VM reads the store on behalf of
 // others.
 func (ct *Controller) updateMembers(now time.Time, members []roster.Member) {
-	names := []id.VM{ct.self.VM}
+	names := map[id.Region][]id.VM{ct.self.Region: {ct.self.VM}}
 	alive := 1
 	for nr := range members {
 		mb := &members[nr]
@@ -50,9 +50,7 @@
 			continue
 		}
 		alive++
-		if mb.Region == ct.self.Region {
-			names = append(names, mb.VM)
-		}
+		names[mb.Region] = append(names[mb.Region], mb.VM)
 	}
 	ct.Placer.SetVMs(names)
 	ct.Budget.SetSlack(ct.Settings.RetrySlack / float64(alive))
