Let VMs that callers use warm up cold targets

Callers are told only of some VMs of a region since the choice by link rate, so the VMs chosen by hash to warm up a target could be ones without requests.

--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -45,7 +45,7 @@
 	op Options
 
 	mu          sync.Mutex
-	vms         map[id.Region][]id.VM // alive, this one included
+	vms         map[id.Region][]id.VM // alive and used by callers
 	started     bool
 	targets     map[id.Target]*targetState
 	byShortHash map[uint32]*targetState // by the low 32 bits of the hash
@@ -82,7 +82,7 @@
 	}
 }
 
-// SetVMs sets the live VMs of each region, including this one. They share the work for cold targets.
+// SetVMs sets the live VMs of each region that get requests of callers. They share the work for cold targets.
 func (pc *Placer) SetVMs(vms map[id.Region][]id.VM) {
 	pc.mu.Lock()
 	defer pc.mu.Unlock()
--- a/internal/cli/losses.go
+++ b/internal/cli/losses.go
@@ -140,7 +140,7 @@
 	}
 }
 
-// list returns the counts sorted by row and then by falling count.
+// list returns the counts by row and cause, without zeros.
 func (lt *lossTable) list() []lossCount {
 	var all []lossCount
 	for _, row := range lt.rows {
--- a/io/gateway/members.go
+++ b/io/gateway/members.go
@@ -39,25 +39,35 @@
 	ct.Placer.ApplyReports(now, reports)
 }
 
-// updateMembers tells the placer which VMs are alive, and decides whether this VM reads the store on behalf of
-// others.
+// updateMembers tells the placer which VMs are alive, and decides whether this VM reads the store on behalf of others.
 func (ct *Controller) updateMembers(now time.Time, members []roster.Member) {
-	names := map[id.Region][]id.VM{ct.self.Region: {ct.self.VM}}
-	alive := 1
+	alive := map[id.Region][]roster.Peer{ct.self.Region: {ct.self}}
+	num := 1
 	for nr := range members {
 		mb := &members[nr]
 		if !mb.Alive(now) || mb.State.Has(roster.Leaving) {
 			continue
 		}
-		alive++
-		names[mb.Region] = append(names[mb.Region], mb.VM)
+		num++
+		alive[mb.Region] = append(alive[mb.Region], mb.Peer)
 	}
-	ct.Placer.SetVMs(names)
-	ct.Budget.SetSlack(ct.Settings.RetrySlack / float64(alive))
+	ct.Placer.SetVMs(vmsForCallers(alive))
+	ct.Budget.SetSlack(ct.Settings.RetrySlack / float64(num))
 	ct.isReader.Store(slices.Contains(chooseReaders(ct.candidates(now)), ct.self.VM))
 	ct.updateSource(now, members)
 }
 
+// vmsForCallers returns the VMs of each region that callers are told to use. The others get too few requests to warm up targets.
+func vmsForCallers(alive map[id.Region][]roster.Peer) map[id.Region][]id.VM {
+	names := make(map[id.Region][]id.VM, len(alive))
+	for rg, peers := range alive {
+		for _, pr := range roster.ListForCallers(peers) {
+			names[rg] = append(names[rg], pr.VM)
+		}
+	}
+	return names
+}
+
 // candidates returns the aggregators of all failure domains, sorted by name.
 func (ct *Controller) candidates(now time.Time) []candidate {
 	var all []candidate
