--- a/io/daemon/cluster_test.go
+++ b/io/daemon/cluster_test.go
@@ -41,9 +41,26 @@
 	isolated map[string]bool // IP addresses of the failure domains that are cut off
 }
 
-const clusterHost = "127.30."
+// clusterNetwork is the second octet of the cluster's addresses, on which the ports are fixed.
+var clusterNetwork = sync.OnceValue(reserveNetwork)
 
-func domainAddress(nr int) string { return fmt.Sprintf("%s%d.1", clusterHost, nr) }
+// networkLock keeps other runs of this test binary on the machine from using the same network while the process runs.
+var networkLock net.Listener
+
+// reserveNetwork returns a second octet that no other run uses.
+func reserveNetwork() int {
+	const first, last, lockPort = 30, 250, 15999
+	for octet := first; octet <= last; octet++ {
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.1:%d", octet, lockPort))
+		if err == nil {
+			networkLock = ln
+			return octet
+		}
+	}
+	panic("every loopback network of the cluster is in use")
+}
+
+func domainAddress(nr int) string { return fmt.Sprintf("127.%d.%d.1", clusterNetwork(), nr) }
 
 // clusterDomains lists the failure domains of the example configuration that are used, one in each region.
 var clusterDomains = []id.FailureDomain{"north-a", "central-a", "south-a"}
--- a/io/target/pool_test.go
+++ b/io/target/pool_test.go
@@ -172,12 +172,12 @@
 		"failed write, idempotent request": {func(cn *conn) net.Conn { cn.Conn = failingWriteConn{cn.Conn}; return cn }, true, ResetAfterWrite, true},
 	} {
 		pl := newTestPool(t, address, address, address, address)
-		dials := 0
+		var dials atomic.Int32
 		for _, be := range pl.backends {
 			for _, tr := range []*http.Transport{be.freshTransport, be.idempotentTransport} {
 				dial := tr.DialContext
 				tr.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-					dials++
+					dials.Add(1)
 					if tc.wrap == nil {
 						return nil, io.ErrUnexpectedEOF
 					}
@@ -193,12 +193,12 @@
 		if err == nil || err.Kind != tc.want || err.MayHaveRun != tc.mayHaveRun {
 			t.Errorf("%s: got %v, want %s, may have run: %v", name, err, tc.want, tc.mayHaveRun)
 		}
-		want := maxAttempts
+		want := int32(maxAttempts)
 		if tc.mayHaveRun && !tc.idempotent {
 			want = 1
 		}
-		if dials != want {
-			t.Errorf("%s: %d attempts, want %d", name, dials, want)
+		if got := dials.Load(); got != want {
+			t.Errorf("%s: %d attempts, want %d", name, got, want)
 		}
 	}
 	if got := ct.requests.Load(); got != 0 {
