--- a/core/placement/doc.go
+++ b/core/placement/doc.go
@@ -3,8 +3,8 @@
 // The choice has two steps:
 //
 //  1. Choose a region. Each VM has a plan with a weight for each region. The plan keeps work in the VM's own region up to a
-//     utilization limit and moves the rest to regions with spare capacity. It is computed from the demand that all VMs
-//     report and changes gradually.
+//     utilization limit and moves the rest to regions with spare capacity, after room for the work that may run only in a
+//     region. It is computed from the demand that all VMs report and changes gradually.
 //  2. Choose a target in the region: the one with the lowest cost. The cost is the estimated time until the target finishes
 //     the request, plus a penalty for recent failures. The estimate depends on the queue of the target and on whether the
 //     target knows the object of the request.
@@ -13,8 +13,8 @@
 // on a known object takes much less time. Rendezvous hashing therefore sends the requests for an object from all VMs to the
 // same few targets.
 //
-// A request is refused if even the target with the lowest cost would keep it waiting too long. The refusal says when the caller
-// should retry.
+// Targets where the request would wait too long are chosen last. If there is no other, the request is refused, and the refusal
+// says when the caller should retry.
 //
 // No function reads the clock; callers pass the current time.
 package placement
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -211,7 +211,7 @@
 
 // pickInRegion chooses a target in the given region.
 func (pc *Placer) pickInRegion(now time.Time, pl *pool, rq *Request, object uint64, region id.Region) (Choice, *Refusal) {
-	cd, ok := pc.lowestCost(now, pl, pl.regions[region], rq, object)
+	cd, ok := pc.bestTarget(now, pl, pl.regions[region], rq, object)
 	ts, wait := cd.target, cd.wait
 	if !ok {
 		return Choice{}, &Refusal{Reason: NoTarget, RetryAfter: noTargetRetryAfter, Region: region}
@@ -329,10 +329,11 @@
 	return cd.cost < ot.cost
 }
 
-// lowestCost returns the eligible target with the lowest cost, or false if there is none. Apart from the preferred target, those
-// that do not know the object are considered only if most of their slots are free: the work takes several times as long there,
-// and spreading objects over all targets under load would displace the objects that the targets know.
-func (pc *Placer) lowestCost(now time.Time, pl *pool, targets []*targetState, rq *Request, object uint64) (best candidate, ok bool) {
+// bestTarget returns the eligible target with the lowest cost among those with an acceptable wait, or among all if there is none
+// with one. It returns false if no target is eligible. Apart from the preferred target, those that do not know the object are
+// considered only if most of their slots are free: the work takes several times as long there, and spreading objects over all
+// targets under load would displace the objects that the targets know.
+func (pc *Placer) bestTarget(now time.Time, pl *pool, targets []*targetState, rq *Request, object uint64) (best candidate, ok bool) {
 	sv := pl.serviceTimesFor(rq)
 	preferLocal := rq.Size >= largeBody
 	pc.rankBuffer = rankByHash(targets, object, pc.rankBuffer)
--- a/core/roster/doc.go
+++ b/core/roster/doc.go
@@ -12,4 +12,6 @@
 //
 // A report echoes the newest instant that its sender received from the receiver. The report was sent after that instant, which
 // bounds the age of the evidence in the report.
+//
+// ListForCallers chooses the VMs of a region that callers are told to use.
 package roster
