Never send two attempts of a request over the same connection to a target

Cause: a target that refuses a request although it reports free slots gets the request again. The second attempt has the same request ID, and net/http mostly chooses the connection that has just carried the refusal, because that one became idle last. If the target then sends a late copy of its refusal, the ID does not distinguish the copy from the response to the second attempt.

Ruled out: that the gateway sends a request to a second target after it ran, and that it takes a response with another ID.

Change: a connection keeps hashes of the last 32 requests that it has carried. An attempt of one of these finds all writes blocked, as on a connection that was idle for too long, and goes out over another connection. A late copy can therefore only meet a request with another ID, which is already recognized.

Related paths: a hedged attempt and a retry go to other targets, so to other connections. Callers that send the same ID twice are covered, too, because the record belongs to the connection. target.Pool does not compare IDs at all; that is a fault of its own.

--- a/io/gateway/attempt.go
+++ b/io/gateway/attempt.go
@@ -139,7 +139,7 @@
 	}
 	rq.sv.op.Codec.RewriteRequest(hd, fw)
 	out := &target.OutgoingRequest{
-		Method: rq.r.Method, Host: rq.r.Host, Header: hd, ContentLength: rq.placement.Size,
+		ID: rq.caller.ID, Method: rq.r.Method, Host: rq.r.Host, Header: hd, ContentLength: rq.placement.Size,
 		URL: &url.URL{Scheme: "http", Host: tg.Address, Opaque: requestTarget(rq.r)},
 	}
 	switch {
--- a/io/target/client.go
+++ b/io/target/client.go
@@ -52,6 +52,8 @@
 
 // OutgoingRequest is a request that a Client sends without changes.
 type OutgoingRequest struct {
+	// ID is the ID that the target returns with its response. Two attempts of a request never use the same connection.
+	ID     id.Request
 	Method string
 	URL    *url.URL
 	Host   string
@@ -66,14 +68,16 @@
 // Exchange sends a request and returns the response, whose body the caller must close. When the context ends, the
 // connection is closed.
 func (cl *Client) Exchange(ctx context.Context, out *OutgoingRequest) (*http.Response, *Error) {
+	var last *Error
 	for range maxStaleConnections {
 		ex := &exchange{client: cl, out: out}
 		resp, err := ex.run(ctx)
-		if err == nil || !errors.Is(err.Cause, errIdleTooLong) || out.Stream != nil && ex.body.stop() {
+		if err == nil || !isUnsuitable(err.Cause) || out.Stream != nil && ex.body.stop() {
 			return resp, err
 		}
+		last = err
 	}
-	return nil, &Error{Kind: ResetBeforeWrite, Target: cl.name, Cause: errIdleTooLong}
+	return nil, last
 }
 
 // exchange is one attempt to send a request on one connection.
@@ -127,7 +131,7 @@
 	if info.Reused {
 		maxIdle = time.Duration(ex.client.idleTimeout.Load())
 	}
-	cn.beginAttempt(time.Now(), maxIdle)
+	cn.beginAttempt(time.Now(), maxIdle, ex.out.ID)
 	ex.mu.Lock()
 	defer ex.mu.Unlock()
 	ex.cn = cn
--- a/io/target/do.go
+++ b/io/target/do.go
@@ -19,7 +19,7 @@
 const (
 	// maxAttempts limits the number of targets that one request is sent to. The retry budget limits it further.
 	maxAttempts = 3
-	// maxStaleConnections limits how many connections in a row may turn out to be idle for too long before the attempt
+	// maxStaleConnections limits how many connections in a row may turn out to be unsuitable for a request before the attempt
 	// fails.
 	maxStaleConnections = 8
 
@@ -261,7 +261,7 @@
 	if info.Reused && !at.cl.rq.Idempotent {
 		maxIdle = maxFreshIdle
 	}
-	cn.beginAttempt(time.Now(), maxIdle)
+	cn.beginAttempt(time.Now(), maxIdle, "")
 	at.mu.Lock()
 	defer at.mu.Unlock()
 	at.cn = cn
