Close a connection to a target on which a response to another request arrives

What callers saw: after a target had sent one response a second time, not only the request that met the copy failed with 502, but also later ones on the same connection, if the copy had no body: each got the response to the request before it.

Cause: net/http puts a connection whose response has no body back into the pool before the response is looked at. Closing the body of a discarded response closes the connection only if there is a body.

Also: a response without an ID was taken for the response to any request. A promise that a request has not run could then come from bytes that belong to no request.

Change: target.Client compares the IDs itself. A connection with a response to another request is closed and carries no further attempt. A response without an ID is accepted only as the first of its connection, which carries no further requests; on a connection that has carried other requests it counts as foreign.

Test: TestForeignResponseClosesConnection and TestResponseWithoutID. Without the two changes, the request after the one that met the copy failed, and responses without an ID were accepted on a used connection.

--- a/io/gateway/adapter.go
+++ b/io/gateway/adapter.go
@@ -59,6 +59,8 @@
 	// RewriteRequest changes the header of a caller's request into the header sent to a target. Hop-by-hop fields are already
 	// removed.
 	RewriteRequest(hd http.Header, fw ForwardInfo)
+	// ResponseID returns the ID of the request that a target's response answers; empty if the header has none.
+	ResponseID(hd http.Header) id.Request
 	// DecodeResponse decodes the status and header of a target's response.
 	DecodeResponse(status int, hd http.Header) ResponseInfo
 	// FilterResponse removes the fields of a target's response that are not meant for the caller.
@@ -82,7 +84,6 @@
 
 // ResponseInfo holds what a target's status and header say.
 type ResponseInfo struct {
-	ID          id.Request      // of the request that was answered; empty if unknown
 	NotRun      bool            // the target has not run the request and will not run it
 	Misplaced   bool            // the address now belongs to another target
 	Signed      bool            // a target has signed the response
--- a/io/gateway/attempt.go
+++ b/io/gateway/attempt.go
@@ -16,9 +16,8 @@
 	"damasklatch/io/target"
 )
 
-// errForeignResponse is the cause of a failed attempt whose response was discarded because it may not come from the target or
-// may belong to another request.
-var errForeignResponse = errors.New("the response belongs to another request, or is a success that no target signed")
+// errUnsigned is the cause of a failed attempt whose response was discarded because it may not come from the target.
+var errUnsigned = errors.New("the response is a success, or longer than an error message, and no target signed it")
 
 // outcome is the result of one attempt.
 type outcome struct {
@@ -139,7 +138,7 @@
 	}
 	rq.sv.op.Codec.RewriteRequest(hd, fw)
 	out := &target.OutgoingRequest{
-		ID: rq.caller.ID, Method: rq.r.Method, Host: rq.r.Host, Header: hd, ContentLength: rq.placement.Size,
+		ID: rq.caller.ID, ResponseID: rq.sv.op.Codec.ResponseID, Method: rq.r.Method, Host: rq.r.Host, Header: hd, ContentLength: rq.placement.Size,
 		URL: &url.URL{Scheme: "http", Host: tg.Address, Opaque: requestTarget(rq.r)},
 	}
 	switch {
@@ -183,9 +182,10 @@
 	if oc.info.IdleTimeout > 0 {
 		lk.SetIdleTimeout(oc.info.IdleTimeout)
 	}
-	if !rq.isValidResponse(oc) {
+	success := resp.StatusCode >= http.StatusOK && resp.StatusCode < http.StatusMultipleChoices
+	if success && !oc.info.Signed {
 		resp.Body.Close()
-		oc.resp, oc.kind, oc.refusal, oc.cause = nil, placement.Broken, refusal{reason: reasonLost}, errForeignResponse
+		oc.resp, oc.kind, oc.refusal, oc.cause = nil, placement.Broken, refusal{reason: reasonLost}, errUnsigned
 		return oc
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedResponse+1))
@@ -202,7 +202,7 @@
 	case len(body) > maxBufferedResponse && !oc.info.Signed:
 		// An error response without a signature may have an endless body.
 		resp.Body.Close()
-		oc.resp, oc.kind, oc.refusal, oc.cause = nil, placement.Broken, refusal{reason: reasonLost}, errForeignResponse
+		oc.resp, oc.kind, oc.refusal, oc.cause = nil, placement.Broken, refusal{reason: reasonLost}, errUnsigned
 		return oc
 	case len(body) > maxBufferedResponse:
 		oc.stream = resp.Body
@@ -227,13 +227,3 @@
 	}
 	return oc
 }
-
-// isValidResponse reports whether the response may be passed on. It must not belong to another request, as a late response on
-// a reused connection does, and a success must be signed by a target.
-func (rq *request) isValidResponse(oc *outcome) bool {
-	if oc.info.ID != "" && oc.info.ID != rq.caller.ID {
-		return false
-	}
-	success := oc.resp.StatusCode >= http.StatusOK && oc.resp.StatusCode < http.StatusMultipleChoices
-	return !success || oc.info.Signed
-}
--- a/io/target/client.go
+++ b/io/target/client.go
@@ -53,7 +53,11 @@
 // OutgoingRequest is a request that a Client sends without changes.
 type OutgoingRequest struct {
 	// ID is the ID that the target returns with its response. Two attempts of a request never use the same connection.
-	ID     id.Request
+	ID id.Request
+	// ResponseID returns the ID of the request to which a response with the given header belongs, or an empty ID if the
+	// header has none.
+	ResponseID func(hd http.Header) id.Request
+
 	Method string
 	URL    *url.URL
 	Host   string
@@ -66,7 +70,7 @@
 }
 
 // Exchange sends a request and returns the response, whose body the caller must close. When the context ends, the
-// connection is closed.
+// connection is closed. A response to another request is an Error of the kind ForeignResponse.
 func (cl *Client) Exchange(ctx context.Context, out *OutgoingRequest) (*http.Response, *Error) {
 	var last *Error
 	for range maxStaleConnections {
@@ -86,8 +90,9 @@
 	out    *OutgoingRequest
 	body   *requestBody
 
-	mu sync.Mutex
-	cn *conn // nil until a connection is available
+	mu     sync.Mutex
+	cn     *conn // nil until a connection is available
+	reused bool  // the connection has carried requests before
 }
 
 func (ex *exchange) run(ctx context.Context) (*http.Response, *Error) {
@@ -97,6 +102,10 @@
 		resp.Body.Close()
 		err = errProtocol
 	}
+	if err == nil && !ex.accepts(resp) {
+		resp.Body.Close()
+		err = errForeignResponse
+	}
 	if err == nil {
 		return resp, nil
 	}
@@ -104,6 +113,27 @@
 	return nil, ex.classify(ctx, err)
 }
 
+// accepts reports whether the response belongs to the request. If the target has sent an additional response, every later response
+// on the connection arrives one request late, so a connection with a response to another request is closed. A response without an
+// ID can't be told from additional bytes of the target. It is accepted if it is the first of its connection or if the request has
+// no ID, and the connection then carries no further requests.
+func (ex *exchange) accepts(resp *http.Response) bool {
+	rid := ex.out.ResponseID(resp.Header)
+	ex.mu.Lock()
+	defer ex.mu.Unlock()
+	switch {
+	case rid != "" && rid == ex.out.ID:
+		return true
+	case rid == "" && (ex.out.ID == "" || !ex.reused):
+		ex.cn.retire()
+		return true
+	default:
+		ex.cn.retire()
+		ex.cn.Close()
+		return false
+	}
+}
+
 func (ex *exchange) newRequest(ctx context.Context) *http.Request {
 	out := ex.out
 	ex.body = &requestBody{onEnd: func() {}}
@@ -134,7 +164,7 @@
 	cn.beginAttempt(time.Now(), maxIdle, ex.out.ID)
 	ex.mu.Lock()
 	defer ex.mu.Unlock()
-	ex.cn = cn
+	ex.cn, ex.reused = cn, info.Reused
 }
 
 // classify returns the error for an exchange that ended without a response. It blocks writes to the connection first, so
@@ -156,6 +186,8 @@
 		er.Kind = Canceled
 	case cn == nil:
 		er.Kind = DialFailed
+	case errors.Is(err, errForeignResponse):
+		er.Kind = ForeignResponse
 	case er.MayHaveRun:
 		er.Kind = ResetAfterWrite
 	default:
--- /dev/null
+++ b/io/target/client_test.go
@@ -0,0 +1,188 @@
+package target
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"damasklatch/core/id"
+)
+
+// scriptedTarget serves each connection with the same function, which gets the requests of that connection one by one.
+type scriptedTarget struct {
+	ln    net.Listener
+	conns atomic.Int32
+	serve func(sc *scriptedConn)
+}
+
+// scriptedConn is a connection of a scriptedTarget.
+type scriptedConn struct {
+	net.Conn
+	rd *bufio.Reader
+}
+
+func startScriptedTarget(t *testing.T, serve func(sc *scriptedConn)) *scriptedTarget {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	st := &scriptedTarget{ln: ln, serve: serve}
+	t.Cleanup(func() { ln.Close() })
+	go st.loop()
+	return st
+}
+
+func (st *scriptedTarget) loop() {
+	for {
+		cn, err := st.ln.Accept()
+		if err != nil {
+			return
+		}
+		st.conns.Add(1)
+		go st.run(cn)
+	}
+}
+
+func (st *scriptedTarget) run(cn net.Conn) {
+	defer cn.Close()
+	st.serve(&scriptedConn{cn, bufio.NewReader(cn)})
+}
+
+// next returns the ID of the next request, and false at the end of the connection.
+func (sc *scriptedConn) next() (string, bool) {
+	r, err := http.ReadRequest(sc.rd)
+	if err != nil {
+		return "", false
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	return r.Header.Get("Request-Id"), true
+}
+
+// respond sends a response without a body. An empty ID is left out.
+func (sc *scriptedConn) respond(status int, rid string) {
+	field := ""
+	if rid != "" {
+		field = "Request-Id: " + rid + "\r\n"
+	}
+	fmt.Fprintf(sc, "HTTP/1.1 %d Status\r\n%sContent-Length: 0\r\n\r\n", status, field)
+}
+
+// exchangeStatus sends a POST request with an ID and returns the status of its response, or the error.
+func exchangeStatus(cl *Client, rid id.Request) (int, *Error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	resp, err := cl.Exchange(ctx, &OutgoingRequest{
+		ID: rid, ResponseID: func(hd http.Header) id.Request { return id.Request(hd.Get("Request-Id")) },
+		Method: http.MethodPost, URL: &url.URL{Scheme: "http", Host: cl.address, Path: "/"}, Host: "desk",
+		Header: http.Header{"Request-Id": {string(rid)}},
+	})
+	if err != nil {
+		return 0, err
+	}
+	resp.Body.Close()
+	return resp.StatusCode, nil
+}
+
+// Guards against a late copy of a response that is taken for the response to the next attempt of the same request.
+func TestRepeatedRequestUsesAnotherConnection(t *testing.T) {
+	st := startScriptedTarget(t, func(sc *scriptedConn) {
+		for rid, ok := sc.next(); ok; rid, ok = sc.next() {
+			sc.respond(200, rid)
+		}
+	})
+	cl := NewClient("t", st.ln.Addr().String(), time.Second)
+	defer cl.Close()
+	Convey("a request that is sent again", t, func() {
+		for nr, rid := range []id.Request{"a", "b", "c", "a", "d", "d"} {
+			status, err := exchangeStatus(cl, rid)
+			So(err, ShouldBeNil)
+			So(status, ShouldEqual, 200)
+			So(st.conns.Load(), ShouldEqual, []int32{1, 1, 1, 2, 2, 3}[nr])
+		}
+	})
+	Convey("the record of a connection holds its last requests", t, func() {
+		rl := requestLog{}
+		for nr := range 3 * maxLoggedRequests {
+			So(rl.add(id.Request(fmt.Sprint(nr))), ShouldBeTrue)
+			So(rl.add(id.Request(fmt.Sprint(nr))), ShouldBeFalse)
+			So(rl.add(id.Request(fmt.Sprint(max(nr-maxLoggedRequests+1, 0)))), ShouldBeFalse)
+		}
+		So(len(rl.hashes), ShouldEqual, maxLoggedRequests)
+	})
+}
+
+// Guards against a connection on which all responses arrive one request late after the target has sent one twice, so that each
+// further request on it fails.
+func TestForeignResponseClosesConnection(t *testing.T) {
+	st := startScriptedTarget(t, func(sc *scriptedConn) {
+		first, _ := sc.next()
+		sc.respond(503, first)
+		second, ok := sc.next()
+		if !ok {
+			return
+		}
+		sc.respond(503, first)
+		third, ok := sc.next() // the response to the second request arrives after the third has been sent
+		sc.respond(200, second)
+		if ok {
+			sc.respond(200, third)
+		}
+	})
+	cl := NewClient("t", st.ln.Addr().String(), time.Second)
+	defer cl.Close()
+	Convey("only the request that meets the late copy fails", t, func() {
+		status, err := exchangeStatus(cl, "a")
+		So(err, ShouldBeNil)
+		So(status, ShouldEqual, 503)
+		_, err = exchangeStatus(cl, "b")
+		So(err.Kind, ShouldEqual, ForeignResponse)
+		So(err.MayHaveRun, ShouldBeTrue)
+		status, err = exchangeStatus(cl, "c")
+		So(err, ShouldBeNil)
+		So(status, ShouldEqual, 503)
+		So(st.conns.Load(), ShouldEqual, 2)
+	})
+}
+
+// Guards against bytes of a target that belong to no request and are taken for the response to the next one, because they have no
+// ID by which to tell.
+func TestResponseWithoutID(t *testing.T) {
+	st := startScriptedTarget(t, func(sc *scriptedConn) {
+		rid, ok := sc.next()
+		if rid == "known" {
+			sc.respond(200, rid)
+			rid, ok = sc.next()
+		}
+		for ; ok; _, ok = sc.next() {
+			sc.respond(503, "")
+		}
+	})
+	cl := NewClient("t", st.ln.Addr().String(), time.Second)
+	defer cl.Close()
+	Convey("a response without an ID", t, func() {
+		Convey("is accepted as the first of a connection, which is not used again", func() {
+			before := st.conns.Load()
+			for nr, rid := range []id.Request{"a", "b", ""} {
+				status, err := exchangeStatus(cl, rid)
+				So(err, ShouldBeNil)
+				So(status, ShouldEqual, 503)
+				So(st.conns.Load()-before, ShouldEqual, nr+1)
+			}
+		})
+		Convey("is not accepted on a connection that has carried other requests", func() {
+			_, err := exchangeStatus(cl, "known")
+			So(err, ShouldBeNil)
+			_, err = exchangeStatus(cl, "c")
+			So(err.Kind, ShouldEqual, ForeignResponse)
+		})
+	})
+}
--- a/io/target/conn.go
+++ b/io/target/conn.go
@@ -18,13 +18,14 @@
 var (
 	errIdleTooLong    = errors.New("connection was idle for too long")
 	errCarriedRequest = errors.New("connection has already carried an attempt of this request")
+	errRetired        = errors.New("an earlier response on the connection could not be identified")
 	errAttemptEnded   = errors.New("attempt has ended")
 )
 
 // isUnsuitable reports whether an attempt failed only because its connection must not carry it. Nothing was sent, and another
 // connection may be used.
 func isUnsuitable(err error) bool {
-	return errors.Is(err, errIdleTooLong) || errors.Is(err, errCarriedRequest)
+	return errors.Is(err, errIdleTooLong) || errors.Is(err, errCarriedRequest) || errors.Is(err, errRetired)
 }
 
 // conn is a connection that records whether the current attempt has written to it, and can block further writes.
@@ -36,6 +37,7 @@
 	wrote    bool
 	writeErr error // returned by every write if not nil
 	carried  requestLog
+	retired  bool // carries no further attempts
 }
 
 // beginAttempt starts an attempt of a request on the connection. Every write fails, which proves that nothing of the request
@@ -47,6 +49,8 @@
 	defer cn.mu.Unlock()
 	cn.wrote = false
 	switch {
+	case cn.retired:
+		cn.writeErr = errRetired
 	case maxIdle > 0 && now.Sub(cn.lastRead) >= maxIdle:
 		cn.writeErr = errIdleTooLong
 	case rid != "" && !cn.carried.add(rid):
@@ -54,6 +58,14 @@
 	}
 }
 
+// retire makes all further attempts on the connection fail before they write. The current one may go on: a target may respond
+// before it has read the whole request.
+func (cn *conn) retire() {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	cn.retired = true
+}
+
 // maxLoggedRequests is the number of requests that a requestLog holds. Targets send a late response before one of the next
 // responses on the connection.
 const maxLoggedRequests = 32
--- a/io/target/do.go
+++ b/io/target/do.go
@@ -37,6 +37,7 @@
 var (
 	errFirstByteTimeout = errors.New("no first response byte within the time limit")
 	errProtocol         = errors.New("target switched protocols although the request did not ask for it")
+	errForeignResponse  = errors.New("the response belongs to another request")
 )
 
 // Do forwards a request to a target and retries it at other targets if the retry rules allow it. The error is always an
--- a/io/target/error.go
+++ b/io/target/error.go
@@ -19,6 +19,7 @@
 	TimedOut         ErrorKind = "timed_out"    // no response before the deadline
 	FirstByteTimeout ErrorKind = "silent"       // no first response byte to an idempotent request within the time limit
 	Refused          ErrorKind = "refused"      // the target reports that it has not run the request
+	ForeignResponse  ErrorKind = "foreign"      // the response belongs to another request
 	Canceled         ErrorKind = "canceled"     // the caller disconnected, or its body ended early
 	TooLarge         ErrorKind = "too_large"    // the request body is larger than the route allows
 )
