Discard responses to other requests in target.Pool

What callers of the entry daemon would see: the response to another request, after a target has sent one response twice.

Cause: Pool.Do took any response on a connection for the one to its request. The targets of the product repeat Request-Id, but it was not compared.

Change: a response with another Request-Id counts as lost (ForeignResponse); its connection is closed and carries no further attempt. The request may have run, so only idempotent requests are sent to another target. The same request is never sent twice to one target here, so the record of carried requests is not needed.

Test: TestPoolDiscardsForeignResponse; without the comparison the second request got the first response.

--- a/io/entry/forward.go
+++ b/io/entry/forward.go
@@ -96,7 +96,7 @@
 	unknownReasons = map[target.ErrorKind]dedup.Reason{
 		target.NoTarget: dedup.ConnectionLost, target.DialFailed: dedup.ConnectionLost, target.ResetBeforeWrite: dedup.ConnectionLost,
 		target.ResetAfterWrite: dedup.ConnectionLost, target.TimedOut: dedup.Timeout, target.FirstByteTimeout: dedup.Timeout,
-		target.Refused: dedup.ConnectionLost, target.Canceled: dedup.Canceled, target.TooLarge: dedup.BodyTooLarge,
+		target.ForeignResponse: dedup.ConnectionLost, target.Refused: dedup.ConnectionLost, target.Canceled: dedup.Canceled, target.TooLarge: dedup.BodyTooLarge,
 	}
 	notRunReasons = map[target.ErrorKind]dedup.Reason{
 		target.NoTarget: dedup.NoTarget, target.DialFailed: dedup.DialFailed, target.ResetBeforeWrite: dedup.DialFailed,
--- a/io/target/client_test.go
+++ b/io/target/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -186,3 +187,35 @@
 		})
 	})
 }
+
+// Guards against callers of a Pool that get the response to another request, which a target sends a second time.
+func TestPoolDiscardsForeignResponse(t *testing.T) {
+	st := startScriptedTarget(t, func(sc *scriptedConn) {
+		late := ""
+		for rid, ok := sc.next(); ok; rid, ok = sc.next() {
+			if late != "" {
+				sc.respond(200, late)
+			}
+			sc.respond(200, rid)
+			late = rid
+		}
+	})
+	pl := newTestPool(t, st.ln.Addr().String())
+	send := func(rid id.Request) (*Response, error) {
+		return pl.Do(context.Background(), &Request{ID: rid, Pool: "desk", Method: http.MethodPost, URL: &url.URL{Path: "/"}, Header: http.Header{}})
+	}
+	Convey("the second request on a connection meets a late copy of the first response", t, func() {
+		res, err := send("a")
+		So(err, ShouldBeNil)
+		res.Body.Close()
+		_, err = send("b")
+		var te *Error
+		So(errors.As(err, &te), ShouldBeTrue)
+		So(te.Kind, ShouldEqual, ForeignResponse)
+		So(te.MayHaveRun, ShouldBeTrue)
+		res, err = send("c")
+		So(err, ShouldBeNil)
+		res.Body.Close()
+		So(st.conns.Load(), ShouldEqual, 2)
+	})
+}
--- a/io/target/do.go
+++ b/io/target/do.go
@@ -141,7 +141,7 @@
 	switch err.Kind {
 	case DialFailed, ResetBeforeWrite:
 		return true
-	case ResetAfterWrite, FirstByteTimeout, Refused:
+	case ResetAfterWrite, FirstByteTimeout, ForeignResponse, Refused:
 		return cl.rq.Idempotent
 	default:
 		return false
@@ -166,7 +166,7 @@
 		if err == nil {
 			return at.newResponse(resp), nil, false
 		}
-		if errors.Is(err.Cause, errIdleTooLong) && cl.canRewind() {
+		if isUnsuitable(err.Cause) && cl.canRewind() {
 			cl.pl.count("stale")
 			cl.rewind()
 			continue
@@ -181,7 +181,7 @@
 
 func balanceKind(kd ErrorKind) balance.ResultKind {
 	switch kd {
-	case DialFailed, ResetBeforeWrite, ResetAfterWrite:
+	case DialFailed, ResetBeforeWrite, ResetAfterWrite, ForeignResponse:
 		return balance.Broken
 	case TimedOut, FirstByteTimeout:
 		return balance.TimedOut
@@ -233,6 +233,9 @@
 	case gaveUp:
 		// The time limit passed just before the response arrived. Its context is canceled, so its body cannot be read.
 		er = &Error{Kind: FirstByteTimeout, Target: at.be.name, MayHaveRun: true, Cause: errFirstByteTimeout}
+	case isForeign(resp, cl.rq.ID):
+		er = &Error{Kind: ForeignResponse, Target: at.be.name, MayHaveRun: true, Cause: errForeignResponse}
+		at.retireConn()
 	case reportsNotRun(resp):
 		er = &Error{Kind: Refused, Target: at.be.name}
 	case resp.StatusCode < http.StatusOK:
@@ -248,6 +251,20 @@
 	return nil, er
 }
 
+// isForeign reports whether the response names another request than rid. A target need not name the request.
+func isForeign(resp *http.Response, rid id.Request) bool {
+	got := resp.Header.Get("Request-Id")
+	return got != "" && got != string(rid)
+}
+
+// retireConn closes the connection of the attempt. A request that has already been given the connection finds it unsuitable.
+func (at *attempt) retireConn() {
+	at.mu.Lock()
+	defer at.mu.Unlock()
+	at.cn.retire()
+	at.cn.Close()
+}
+
 // reportsNotRun reports whether the target has refused the request without running it.
 func reportsNotRun(resp *http.Response) bool {
 	return resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get("Work-Status") == "not_run"
