Own the connections of callers, and notice a caller that leaves after a further request

Cause: the gateway relied on net/http to cancel the context of a request when its caller leaves. net/http watches the connection with a read of one byte and stops watching when that read returns a byte of a further request.

Ruled out: that the gateway keeps an attempt although its context is canceled; without a further request, the close is noticed (TestCallerDisconnects).

Change: io/inbound stands between the socket and net/http. It finds the end of each request (length, chunks, trailer) and hands over the bytes of one request at a time. net/http's own background read then never gets a byte of a further request; it blocks in inbound, which reads ahead into at most 16 KiB and returns the error of a closed connection. net/http cancels the request, and all later reads fail, so that no further request of the connection is served. No goroutine is added. Nothing is buffered for callers that don't pipeline.

A request with two readings is refused with 400 and its connection closed, at every position, and whatever net/http and the framer read differently is refused as well.

Tests, all failing before: TestPipeliningCallerLeaves (second request ran), TestMalformedRequests with two requests before the malformed one (status 200 for both lengths) and with bare line feeds and folded fields.

--- a/io/gateway/daemon.go
+++ b/io/gateway/daemon.go
@@ -24,6 +24,7 @@
 	"damasklatch/core/quota"
 	"damasklatch/core/roster"
 	"damasklatch/io/asynclog"
+	"damasklatch/io/inbound"
 	"damasklatch/io/metrics"
 	"damasklatch/io/objects"
 	"damasklatch/io/status"
@@ -232,6 +233,7 @@
 	rn.callerServer = lc.Server.HTTPServer()
 	unused := &unusedConns{}
 	rn.callerServer.ConnState = unused.note
+	inbound.Attach(rn.callerServer)
 	rn.callerServer.RegisterOnShutdown(unused.close)
 	byAddress := map[string]*mux.Router{}
 	route := func(address string) *mux.Router {
@@ -255,7 +257,7 @@
 	return rn.serve(ctx, gs.CallerAddress, rn.callerServer, true)
 }
 
-func (rn *daemon) serve(ctx context.Context, address string, srv *http.Server, recorded bool) error {
+func (rn *daemon) serve(ctx context.Context, address string, srv *http.Server, forCallers bool) error {
 	if _, err := netip.ParseAddrPort(address); err != nil {
 		return errors.Wrap(err, "parse listen address")
 	}
@@ -263,8 +265,8 @@
 	if err != nil {
 		return errors.Wrap(err, "bind listen address")
 	}
-	if recorded {
-		ln = recordingListener{ln}
+	if forCallers {
+		ln = inbound.NewListener(ln)
 	}
 	rn.wg.Add(1)
 	go backgroundTask{(&boundServer{ln, srv}).serve}.run(ctx, &rn.wg)
--- a/io/gateway/request.go
+++ b/io/gateway/request.go
@@ -14,6 +14,7 @@
 	"damasklatch/core/id"
 	"damasklatch/core/placement"
 	"damasklatch/core/routing"
+	"damasklatch/io/inbound"
 )
 
 // maxBufferedBody is the largest request body, in bytes, that is buffered. A buffered body can be sent again to another
@@ -47,7 +48,6 @@
 // ServeHTTP implements http.Handler.
 func (sv *Server) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	rq := &request{sv: sv, rw: rw, r: r, started: time.Now(), caller: sv.op.Codec.DecodeRequest(r.Header)}
-	defer resetRecording(r)
 	if sv.leaving.Load() {
 		rw.Header()["Connection"] = []string{"close"}
 	}
@@ -85,15 +85,14 @@
 
 // admit decides whether the request may be forwarded, and returns a refusal if not. It also prepares the placement.
 func (rq *request) admit() *refusal {
+	if rf := rq.checkFraming(); rf != nil {
+		return rf
+	}
 	rq.table = rq.sv.table.Load()
 	leaseValid := rq.sv.op.Lease.Valid()
 	if rq.table == nil {
 		return &refusal{reason: reasonNoConfig, retryAfter: notReadyRetryAfter}
 	}
-	if hasAmbiguousLength(rq.r) {
-		rq.rw.Header()["Connection"] = []string{"close"}
-		return &refusal{reason: reasonBadRequest}
-	}
 	if rf := rq.checkSize(); rf != nil {
 		return rf
 	}
@@ -116,6 +115,17 @@
 	return nil
 }
 
+// checkFraming refuses a request whose end is ambiguous, and closes its connection. What follows may have been meant as its body.
+func (rq *request) checkFraming() *refusal {
+	err := inbound.CheckFraming(rq.r)
+	if err == nil {
+		return nil
+	}
+	rq.cause = err
+	rq.rw.Header()["Connection"] = []string{"close"}
+	return &refusal{reason: reasonBadRequest}
+}
+
 // currentRefusal returns a refusal that depends on the newest configuration. If the lease is not valid, the reason is
 // reasonStale instead.
 func currentRefusal(leaseValid bool, rs Reason) *refusal {
@@ -210,6 +220,9 @@
 		rq.rw.Header()["Connection"] = []string{"close"}
 		return &refusal{reason: reasonBadRequest}
 	}
+	if rf := rq.checkFraming(); rf != nil {
+		return rf
+	}
 	rq.body = buf.Bytes()
 	rq.placement.Size = num
 	if num == maxBufferedBody && rq.r.ContentLength != maxBufferedBody {
--- a/io/gateway/server.go
+++ b/io/gateway/server.go
@@ -100,7 +100,6 @@
 func (sv *Server) HTTPServer() *http.Server {
 	return &http.Server{
 		Handler:           sv,
-		ConnContext:       withConn,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
