Notice callers of the entry daemon that leave after a further request

The entry daemon serves callers with net/http, too: a request of a caller that has pipelined another one and left went on at its target, and a request with both a Content-Length and a chunked body was served. Found on the related path; no caller has reported it.

Change: the daemon's listener for callers comes from io/inbound, and a request whose end is ambiguous is refused with bad_request, not_run, before all other checks but that of the ticket.

Test: TestPipelinedRequests in io/entry. Without the listener, "the request goes on at the target" and status 200 for the ambiguous request.

--- a/io/daemon/start.go
+++ b/io/daemon/start.go
@@ -16,6 +16,7 @@
 	"damasklatch/core/event"
 	"damasklatch/io/configsync"
 	"damasklatch/io/entry"
+	"damasklatch/io/inbound"
 	"damasklatch/io/metrics"
 	"damasklatch/io/peer"
 	"damasklatch/io/target"
@@ -65,6 +66,7 @@
 		rn.peers.close()
 		return err
 	}
+	rn.callers.ln = inbound.NewListener(rn.callers.ln)
 	ctx, cancel := context.WithCancel(context.Background())
 	rn.cancel = cancel
 	lc.Recorder.Record(time.Now(), event.Event{Kind: event.KindStarted})
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -16,6 +16,7 @@
 	"damasklatch/core/limit"
 	"damasklatch/core/unit"
 	"damasklatch/internal/logfield"
+	"damasklatch/io/inbound"
 	"damasklatch/io/target"
 )
 
@@ -136,7 +137,7 @@
 // the request may be forwarded.
 func (rq *request) check() *refusal {
 	for _, ck := range [...]func(*request) *refusal{
-		(*request).checkReady, (*request).checkRoute, (*request).checkKey, (*request).checkBody, (*request).takeShiftToken,
+		(*request).checkFraming, (*request).checkReady, (*request).checkRoute, (*request).checkKey, (*request).checkBody, (*request).takeShiftToken,
 		(*request).takeRateToken, (*request).checkLinks, (*request).takeSlots, (*request).recheckKey,
 	} {
 		if rf := ck(rq); rf != nil {
@@ -146,6 +147,15 @@
 	return nil
 }
 
+// checkFraming refuses a request whose end is ambiguous, and closes its connection. What follows may have been meant as its body.
+func (rq *request) checkFraming() *refusal {
+	if inbound.CheckFraming(rq.r) == nil {
+		return nil
+	}
+	rq.w.Header()["Connection"] = []string{"close"}
+	return notRun(dedup.BadRequest)
+}
+
 func (rq *request) checkReady() *refusal {
 	switch {
 	case rq.draining:
--- a/io/entry/rig_test.go
+++ b/io/entry/rig_test.go
@@ -26,6 +26,7 @@
 	"damasklatch/core/lookup"
 	"damasklatch/core/unit"
 	"damasklatch/io/entry"
+	"damasklatch/io/inbound"
 	"damasklatch/io/target"
 
 	"go.uber.org/goleak"
@@ -162,7 +163,7 @@
 	}
 	hs := rg.sv.HTTPServer()
 	done := make(chan struct{})
-	go func() { defer close(done); hs.Serve(ls) }()
+	go func() { defer close(done); hs.Serve(inbound.NewListener(ls)) }()
 	rg.url = "http://" + ls.Addr().String()
 	tr := &http.Transport{DisableCompression: true}
 	rg.client = &http.Client{Transport: tr}
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -17,6 +17,7 @@
 	"damasklatch/core/limit"
 	"damasklatch/core/lookup"
 	"damasklatch/internal/waitqueue"
+	"damasklatch/io/inbound"
 	"damasklatch/io/target"
 
 	"github.com/gorilla/mux"
@@ -148,9 +149,9 @@
 }
 
 // HTTPServer returns an HTTP server for Handler that limits the header size, the time to send a header, the idle time and
-// the connections of each caller address.
+// the connections of each caller address. Its listener should come from inbound.NewListener.
 func (sv *Server) HTTPServer() *http.Server {
-	return &http.Server{
+	srv := &http.Server{
 		Handler:           sv.Handler(),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
@@ -158,6 +159,8 @@
 		ConnState:         sv.conns.onStateChange,
 		ErrorLog:          slog.NewLogLogger(sv.op.Log.Handler(), slog.LevelDebug),
 	}
+	inbound.Attach(srv)
+	return srv
 }
 
 // Drain makes the server refuse new requests. It returns nil when no request is in flight, or the error of the context
--- a/io/entry/stream_test.go
+++ b/io/entry/stream_test.go
@@ -246,3 +246,60 @@
 		}
 	}
 }
+
+// Guards against a request that goes on at its target after its caller has sent a further request and left, and against a request
+// that is served although it stands behind one whose end is ambiguous.
+func TestPipelinedRequests(t *testing.T) {
+	canceled := make(chan struct{}, 1)
+	rg := newRig(t, func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body) // the server notices a closed connection only after the body was read
+		if r.URL.Path == "/book/slow" {
+			select {
+			case <-r.Context().Done():
+				canceled <- struct{}{}
+			case <-time.After(3 * time.Second):
+			}
+		}
+	})
+	dial := func() net.Conn {
+		cn, err := net.Dial("tcp", strings.TrimPrefix(rg.url, "http://"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { cn.Close() })
+		return cn
+	}
+	request := func(path, fields string) string { return "GET " + path + " HTTP/1.1\r\nHost: x\r\n" + fields + "\r\n" }
+	t.Run("caller leaves", func(t *testing.T) {
+		cn := dial()
+		fmt.Fprintf(cn, "POST /book/slow HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nDamasklatch-Ticket: %s\r\n\r\n", key, rg.ticket())
+		time.Sleep(50 * time.Millisecond)
+		fmt.Fprint(cn, request("/open/1", ""))
+		time.Sleep(50 * time.Millisecond)
+		cn.Close()
+		select {
+		case <-canceled:
+		case <-time.After(2 * time.Second):
+			t.Error("the request goes on at the target")
+		}
+	})
+	t.Run("ambiguous request", func(t *testing.T) {
+		cn := dial()
+		fmt.Fprint(cn, request("/open/1", "")+request("/open/2", "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n")+"0\r\n\r\n"+request("/open/3", ""))
+		rd := bufio.NewReader(cn)
+		for _, want := range []int{200, 400} {
+			resp, err := http.ReadResponse(rd, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			io.Copy(io.Discard, resp.Body)
+			resp.Body.Close()
+			if resp.StatusCode != want {
+				t.Errorf("got status %d, want %d", resp.StatusCode, want)
+			}
+		}
+		if _, err := rd.ReadByte(); err == nil {
+			t.Error("the connection was not closed")
+		}
+	})
+}
