Keep hearing a VM whose clock has jumped back between two starts

Cause: the incarnation of a process is its start time by the time of day. A VM ignores messages and registrations of a process with a lower incarnation than it knows. A process that starts after the clock of its VM has jumped back has a lower one than the process before it. The other VM of its failure domain takes it for silent and becomes coordinator of its teams after 7 s, while the process itself goes on counting; both grant the whole share of the failure domain.

Change, in two independent parts: a process raises its incarnation above a higher one of its own VM, which it reads in the store or is told by VMs that get its reports; and signs of life with a lower incarnation keep a VM from being given up as coordinator.

Tests: TestLowerIncarnation failed before at all four checks. TestFleetKeepsLimitsWithJumpingClocks (random faults, jumps of the time of day up to 20 s, restarts) failed before after 96 runs: 112 requests in a window, 92 allowed.

--- a/core/quota/model_test.go
+++ b/core/quota/model_test.go
@@ -50,6 +50,8 @@
 	messages       int
 	bytes          int
 	countTraffic   bool // whether send counts messages and bytes
+	// clocksJump adds jumps of the time of day to the faults. Incarnations are then times of day.
+	clocksJump bool
 	// unrunOneIn is the number of admitted requests of which one does not run, so that its token is returned; 0 for none.
 	unrunOneIn int
 }
@@ -60,7 +62,9 @@
 	domain              id.FailureDomain
 	reader              bool
 	started             time.Time
-	inc                 id.Incarnation
+	inc                 id.Incarnation // that the process started with; the roster may have raised it since
+	registered          id.Incarnation // in the store
+	clockOffset         time.Duration  // of the time of day
 	fl                  *fleet
 	ledger              *quota.Ledger
 	lease               *lease.Lease
@@ -114,13 +118,20 @@
 
 func (mc *vm) peer() roster.Peer {
 	return roster.Peer{
-		VM: mc.name, Incarnation: mc.inc, FailureDomain: mc.domain, Region: mc.fl.regions[mc.domain], Heartbeat: mc.heartbeat,
+		VM: mc.name, Incarnation: mc.registered, FailureDomain: mc.domain, Region: mc.fl.regions[mc.domain], Heartbeat: mc.heartbeat,
 	}
 }
 
+// incarnation returns the incarnation that the process uses.
+func (mc *vm) incarnation() id.Incarnation { return mc.roster.Self().Incarnation }
+
 // start starts a new process of the VM. It reads the registered VMs from the store.
 func (mc *vm) start() {
 	mc.inc++
+	if mc.fl.clocksJump {
+		mc.inc = id.Incarnation(mc.fl.now.Add(mc.clockOffset).UnixNano())
+	}
+	mc.registered = mc.inc
 	mc.heartbeat, mc.lapses = 0, 0
 	mc.started, mc.lastStep, mc.answered = mc.fl.now, mc.fl.now, time.Time{}
 	mc.lease = lease.New(func() lease.Instant { return lease.Instant(mc.fl.now.UnixNano()) }, leaseDuration)
@@ -208,6 +219,9 @@
 		mc.lease.Renew(mc.lease.Now())
 		mc.answered = fl.now
 	}
+	if mc.reachesStore() && !mc.started.Equal(fl.now) {
+		mc.registered = mc.incarnation()
+	}
 	if mc.reachesStore() && mc.roster.NeedsHeartbeat(fl.now) && !fl.now.Before(mc.nextHeartbeat) {
 		mc.nextHeartbeat = fl.now.Add(heartbeatInterval)
 		mc.heartbeat++
@@ -232,7 +246,7 @@
 }
 
 func (mc *vm) receive(st *roster.Status) {
-	if mc.roster.Receive(mc.fl.now, st) && st.Report.EchoOf == mc.inc && st.Report.Version == mc.version() {
+	if mc.roster.Receive(mc.fl.now, st) && st.Report.EchoOf == mc.incarnation() && st.Report.Version == mc.version() {
 		mc.lease.RenewFromPeer(st.Report.Echo, st.Report.EvidenceAge)
 	}
 }
@@ -245,7 +259,7 @@
 		age = -1
 	}
 	st := roster.Status{Report: roster.Report{
-		VM: mc.name, Incarnation: mc.inc, Version: mc.version(), EvidenceAge: age, Sent: mc.lease.Now(), State: roster.Ready,
+		VM: mc.name, Incarnation: mc.incarnation(), Version: mc.version(), EvidenceAge: age, Sent: mc.lease.Now(), State: roster.Ready,
 	}}
 	var own, all []roster.Summary
 	if !fl.now.Before(mc.nextSummary) {
@@ -272,6 +286,13 @@
 		}
 		mc.send(to, st)
 	}
+	for nr := range members {
+		if mb := &members[nr]; mb.RunsOutdated(fl.now, 2*statusInterval) {
+			sent[mb.VM] = true
+			st.Summaries, st.Report.Echo, st.Report.EchoOf = nil, 0, mb.Incarnation
+			mc.send(mb.VM, st)
+		}
+	}
 	for _, pr := range mc.roster.Aggregators(fl.now, mc.domain) {
 		send(pr.VM, nil)
 	}
@@ -427,6 +448,10 @@
 // fault starts a random fault: the suspension of a VM, the isolation of a VM or a failure domain, an outage of the
 // store for one VM or all, or the restart of one VM or all.
 func (fl *fleet) fault() {
+	if fl.clocksJump && fl.rng.IntN(2) == 0 {
+		fl.jumpClock()
+		return
+	}
 	until := fl.now.Add(time.Duration(fl.rng.IntN(9000)) * time.Millisecond)
 	mc := fl.vms[fl.rng.IntN(len(fl.vms))]
 	switch fl.rng.IntN(8) {
@@ -455,6 +480,18 @@
 	}
 }
 
+// jumpClock changes the time of day of a VM by seconds, or sets it right. Mostly, its process is restarted as well.
+func (fl *fleet) jumpClock() {
+	mc := fl.vms[fl.rng.IntN(len(fl.vms))]
+	mc.clockOffset = 0
+	if fl.rng.IntN(2) == 0 {
+		mc.clockOffset = time.Duration(fl.rng.IntN(40_000)-20_000) * time.Millisecond
+	}
+	if fl.rng.IntN(4) > 0 {
+		mc.start()
+	}
+}
+
 // run simulates the given number of steps with random faults. Most requests go to one VM, which changes over time, at
 // several times the rate of the limit.
 func (fl *fleet) run(steps int) {
@@ -510,6 +547,17 @@
 	})
 }
 
+// Guards against two coordinators of a team in a failure domain, so that the team exceeds its limit, after the time of day of a VM
+// has jumped back: its process then starts with a lower incarnation than the one before.
+func TestFleetKeepsLimitsWithJumpingClocks(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		fl := newRandomFleet(rt)
+		fl.keepKey, fl.unrunOneIn, fl.clocksJump = true, 5, true
+		fl.run(800)
+		fl.checkLimit(rt)
+	})
+}
+
 // Guards against a team that exceeds its limit without faults, while its load moves between VMs and messages are lost
 // and delayed.
 func TestFleetWithoutFaultsKeepsLimits(t *testing.T) {
--- a/core/roster/message.go
+++ b/core/roster/message.go
@@ -62,9 +62,11 @@
 	// if there is no evidence.
 	EvidenceAge time.Duration `cbor:"5,keyasint"`
 	// Sent is the time of sending by the sender's clock. Echo is the newest Sent that the sender has received from the receiver.
-	Sent   lease.Instant       `cbor:"6,keyasint"`
-	Echo   lease.Instant       `cbor:"7,keyasint,omitempty"`
-	EchoOf id.Incarnation      `cbor:"8,keyasint,omitempty"` // incarnation of the receiver that Echo came from
+	Sent lease.Instant `cbor:"6,keyasint"`
+	Echo lease.Instant `cbor:"7,keyasint,omitempty"`
+	// EchoOf is the incarnation of the receiver that Echo came from. Without an Echo, it is the highest incarnation of the
+	// receiver that the sender knows, and tells a process with a lower one to raise its own.
+	EchoOf id.Incarnation      `cbor:"8,keyasint,omitempty"`
 	Work   map[id.Pool]float32 `cbor:"9,keyasint,omitempty"` // slots needed for the current demand of each pool
 	Loads  []Load              `cbor:"10,keyasint,omitempty"`
 	// Changes holds, for each kind of object, the revision of the newest change that the sender has seen.
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -35,6 +36,16 @@
 	LastRegistered, FirstRegistered time.Time
 	heartbeatSeen                   bool // the heartbeat of the registration has increased
 	expired                         bool // silent for ForgetAfter, so it no longer admits requests under the limits
+	// OutdatedAt is when a sign of life of a process with a lower incarnation was last seen: of an earlier process, delayed, or of a
+	// later one that started after the clock of the VM had jumped back.
+	OutdatedAt           time.Time
+	outdatedRegistration registrationVersion // last seen registration with a lower incarnation
+}
+
+// registrationVersion identifies a state of a registration.
+type registrationVersion struct {
+	inc       id.Incarnation
+	heartbeat uint64
 }
 
 // Alive reports whether the VM gave a sign of life within AliveFor.
@@ -46,9 +57,14 @@
 // within reports whether less than dur has passed from at to now. A zero at means never.
 func within(now, at time.Time, dur time.Duration) bool { return !at.IsZero() && now.Sub(at) < dur }
 
-// isSilent reports whether neither a sign of life nor a change of the registration was seen for ForgetAfter.
+// RunsOutdated reports whether a process of the VM with a lower incarnation gave a sign of life within dur.
+func (mb *Member) RunsOutdated(now time.Time, dur time.Duration) bool {
+	return within(now, mb.OutdatedAt, dur)
+}
+
+// isSilent reports whether no process of the VM gave a sign of life, and no change of its registration was seen, for ForgetAfter.
 func (mb *Member) isSilent(now time.Time) bool {
-	return !within(now, mb.LastSeen, ForgetAfter) && !within(now, mb.LastRegistered, ForgetAfter)
+	return !within(now, mb.LastSeen, ForgetAfter) && !within(now, mb.LastRegistered, ForgetAfter) && !within(now, mb.OutdatedAt, ForgetAfter)
 }
 
 // Roster is the list of the other VMs of the fleet. Create it with New. It is safe for concurrent use.
@@ -72,14 +88,34 @@
 	}
 }
 
+// Self returns the registration of this VM, without its heartbeat.
+func (rs *Roster) Self() Peer {
+	rs.mu.RLock()
+	defer rs.mu.RUnlock()
+	return rs.self
+}
+
+// incarnationSpread is the range of the random part by which an incarnation is raised. Two processes that raise theirs above the
+// same one must not get the same, because an incarnation identifies a process.
+const incarnationSpread = 1 << 20
+
+// raiseIncarnation raises the incarnation of this VM above that of an earlier process, which is higher if the clock of the VM has
+// jumped back since. Other VMs ignore a process with a lower incarnation than the highest that they know.
+func (rs *Roster) raiseIncarnation(known id.Incarnation) {
+	if known > rs.self.Incarnation {
+		rs.self.Incarnation = known + 1 + id.Incarnation(rand.Uint64N(incarnationSpread))
+	}
+}
+
 // SetPeers replaces the list of registered VMs. A VM that is no longer registered stays in the roster if it ever gave a sign of
-// life.
+// life. A registration of this VM with a higher incarnation raises that of this process.
 func (rs *Roster) SetPeers(now time.Time, peers []Peer) {
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
 	listed := map[id.VM]bool{}
 	for _, pr := range peers {
 		if pr.VM == rs.self.VM {
+			rs.raiseIncarnation(pr.Incarnation)
 			continue
 		}
 		listed[pr.VM] = true
@@ -92,6 +128,8 @@
 				mb.LastRegistered, mb.heartbeatSeen = now, true
 			}
 			mb.Peer = pr // Receive may have created mb with the addresses of the earlier process
+		default:
+			mb.noteOutdated(now, pr)
 		}
 	}
 	for name, mb := range rs.members {
@@ -101,6 +139,14 @@
 	}
 }
 
+// noteOutdated records a registration with a lower incarnation, if it has changed.
+func (mb *Member) noteOutdated(now time.Time, pr Peer) {
+	rv := registrationVersion{pr.Incarnation, pr.Heartbeat}
+	if rv != mb.outdatedRegistration {
+		mb.outdatedRegistration, mb.OutdatedAt = rv, now
+	}
+}
+
 // put adds a member. It replaces an earlier process of the same VM.
 func (rs *Roster) put(mb *Member) {
 	if old := rs.members[mb.VM]; old != nil {
@@ -115,12 +161,19 @@
 }
 
 // Receive processes a message that arrived at the time now. It ignores the message and returns false if the sender is not
-// registered, if the message comes from an earlier process of the sender, or if a newer one has already been received.
+// registered, if a process of the sender with a higher incarnation is known, or if a newer message has already been received. A
+// message to a process of this VM with a higher incarnation raises that of this process.
 func (rs *Roster) Receive(now time.Time, st *Status) bool {
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
 	rp := &st.Report
 	mb := rs.members[rp.VM]
+	if mb != nil {
+		rs.raiseIncarnation(rp.EchoOf)
+	}
+	if mb != nil && rp.Incarnation < mb.Incarnation {
+		mb.OutdatedAt = now
+	}
 	if mb != nil && rp.Incarnation > mb.Incarnation {
 		pr := mb.Peer
 		pr.Incarnation, pr.Heartbeat = rp.Incarnation, 0
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -111,6 +111,83 @@
 	})
 }
 
+// If the clock of a VM jumps back between two starts, the later process has a lower incarnation than the earlier one. If the other VMs
+// ignored it, another VM would count the requests of a team at the same time, and the team would exceed its limit.
+func TestLowerIncarnation(t *testing.T) {
+	Convey("a VM whose process has a lower incarnation than the one before", t, func() {
+		now := time.Unix(1_800_000_000, 0)
+		registered := peer("b", "x", 10)
+		registered.Incarnation = 9
+		rs := roster.New(peer("a", "x", 10))
+		for nr := 0; ; nr++ { // find a name with which the VM is the coordinator
+			registered.VM = id.VM(fmt.Sprint("b", nr))
+			rs = roster.New(peer("a", "x", 10))
+			rs.SetPeers(now, []roster.Peer{registered})
+			if pr, _ := rs.Coordinator(now, "x", team); pr.VM == registered.VM {
+				break
+			}
+		}
+		So(rs.Receive(now, status(registered.VM, 9, 1)), ShouldBeTrue)
+		later := registered
+		later.Incarnation = 5
+		restarted := roster.New(later)
+		isCoordinator := func() bool {
+			pr, _ := rs.Coordinator(now, "x", team)
+			return pr.VM == registered.VM
+		}
+		Convey("stays coordinator while its reports arrive", func() {
+			for nr := range 20 {
+				now = now.Add(time.Second)
+				rs.Receive(now, status(registered.VM, 5, int64(nr+2)))
+				rs.ForgetSilent(now, true)
+			}
+			So(isCoordinator(), ShouldBeTrue)
+			So(rs.Members()[0].RunsOutdated(now, time.Second), ShouldBeTrue)
+			now = now.Add(8 * time.Second)
+			rs.ForgetSilent(now, true)
+			So(isCoordinator(), ShouldBeFalse)
+		})
+		Convey("stays coordinator while its registration changes", func() {
+			for range 20 {
+				now = now.Add(time.Second)
+				later.Heartbeat++
+				rs.SetPeers(now, []roster.Peer{later})
+				rs.ForgetSilent(now, true)
+			}
+			So(isCoordinator(), ShouldBeTrue)
+			for range 8 {
+				now = now.Add(time.Second)
+				rs.SetPeers(now, []roster.Peer{later})
+				rs.ForgetSilent(now, true)
+			}
+			So(isCoordinator(), ShouldBeFalse)
+		})
+		Convey("raises its incarnation when it reads the registration of the earlier process", func() {
+			restarted.SetPeers(now, []roster.Peer{peer("a", "x", 10), registered})
+			So(restarted.Self().Incarnation, ShouldBeGreaterThan, 9)
+			So(rs.Receive(now, status(registered.VM, restarted.Self().Incarnation, 1)), ShouldBeTrue)
+		})
+		Convey("raises its incarnation when another VM knows a higher one", func() {
+			restarted.SetPeers(now, []roster.Peer{peer("a", "x", 10), later})
+			So(restarted.Self().Incarnation, ShouldEqual, 5)
+			st := status("a", 1, 1)
+			st.Report.EchoOf = 9
+			restarted.Receive(now, st)
+			So(restarted.Self().Incarnation, ShouldBeGreaterThan, 9)
+		})
+		Convey("keeps its incarnation when a stranger knows a higher one, or when others know lower ones", func() {
+			restarted.SetPeers(now, []roster.Peer{peer("a", "x", 10), later})
+			st := status("stranger", 1, 1)
+			st.Report.EchoOf = 9
+			restarted.Receive(now, st)
+			st = status("a", 1, 1)
+			st.Report.EchoOf = 4
+			restarted.Receive(now, st)
+			So(restarted.Self().Incarnation, ShouldEqual, 5)
+		})
+	})
+}
+
 // A failure domain without a working aggregator is cut off from the others although its VMs run.
 func TestAggregators(t *testing.T) {
 	Convey("a failure domain of four other VMs", t, func() {
--- a/io/gateway/control.go
+++ b/io/gateway/control.go
@@ -76,7 +76,9 @@
 type Controller struct {
 	Components
 	self roster.Peer
-	send func(address string, st *roster.Status) error
+	// incarnation is the incarnation of this VM that is in use; the roster may raise that of self.
+	incarnation id.Incarnation
+	send        func(address string, st *roster.Status) error
 	// renewRegistration requests a renewal of the registration in the store. It doesn't block.
 	renewRegistration func()
 	inbox             chan event
@@ -139,7 +141,7 @@
 func NewController(pt Components, self roster.Peer, send func(string, *roster.Status) error, renewRegistration func()) *Controller {
 	now := time.Now()
 	ct := &Controller{
-		Components: pt, self: self, send: send, renewRegistration: renewRegistration, started: now, lastTick: now,
+		Components: pt, self: self, incarnation: self.Incarnation, send: send, renewRegistration: renewRegistration, started: now, lastTick: now,
 		inbox: make(chan event, inboxSize), informers: map[objects.Kind]*objects.Informer{},
 		latestChanges: map[objects.Kind]objects.Revision{}, progress: map[objects.Kind]*watchProgress{},
 		targets: map[string]placement.Target{}, retained: map[string]time.Time{},
--- a/io/gateway/daemon.go
+++ b/io/gateway/daemon.go
@@ -91,8 +91,8 @@
 	newSelf, newStore, newLease, newLedger, newRoster, newLimiter, newPlacer, newBudget, metrics.New, newServer, newReloader,
 ))
 
-// newSelf returns the registration of this VM. The incarnation is the start time in nanoseconds, so that every later process
-// has a higher one.
+// newSelf returns the registration of this VM. The incarnation is the start time in nanoseconds, so that a later process has a
+// higher one, unless the clock has jumped back. The roster then raises it.
 func newSelf(gs *config.GatewaySettings) roster.Peer {
 	return roster.Peer{
 		VM: gs.VM, Incarnation: id.Incarnation(time.Now().UnixNano()), FailureDomain: gs.FailureDomain, Region: gs.Region,
@@ -184,7 +184,7 @@
 
 func (rn *daemon) start(context.Context) error {
 	lc, gs := rn.lc, rn.lc.Settings
-	rg := &registrar{store: lc.Store, codec: lc.Adapter, roster: lc.Roster, self: lc.Self, log: lc.Log, renewals: make(chan struct{}, 1)}
+	rg := &registrar{store: lc.Store, codec: lc.Adapter, roster: lc.Roster, log: lc.Log, renewals: make(chan struct{}, 1)}
 	rn.control = NewController(Components{
 		Settings: gs, Adapter: lc.Adapter, Store: lc.Store, Lease: lc.Lease, Ledger: lc.Ledger, Roster: lc.Roster, Limiter: lc.Limiter, Placer: lc.Placer,
 		Budget: lc.Budget, Server: lc.Server, Log: lc.Log,
--- a/io/gateway/members.go
+++ b/io/gateway/members.go
@@ -14,14 +14,19 @@
 // applyStatus applies the report of another VM to the roster, the placer, the lease and the watches.
 func (ct *Controller) applyStatus(ms statusEvent) {
 	rp := &ms.st.Report
-	if rp.VM == ct.self.VM || !ct.Roster.Receive(ms.at, ms.st) {
+	if rp.VM == ct.self.VM {
+		return
+	}
+	accepted := ct.Roster.Receive(ms.at, ms.st)
+	ct.checkIncarnation()
+	if !accepted {
 		return
 	}
 	ct.applyLoads(ms.at, rp.Loads)
 	for nr := range ms.st.Summaries {
 		ct.applyLoads(ms.at, ms.st.Summaries[nr].Loads)
 	}
-	if rp.EchoOf == ct.self.Incarnation && rp.Version == ct.version {
+	if rp.EchoOf == ct.incarnation && rp.Version == ct.version {
 		ct.Lease.RenewFromPeer(rp.Echo, rp.EvidenceAge)
 	}
 	for name, rev := range rp.Changes {
@@ -31,6 +36,18 @@
 	}
 }
 
+// checkIncarnation renews the registration in the store if the roster has raised the incarnation of this VM.
+func (ct *Controller) checkIncarnation() {
+	inc := ct.Roster.Self().Incarnation
+	if inc == ct.incarnation {
+		return
+	}
+	ct.Log.Warn("incarnation was raised: an earlier process of this VM had a higher one, so the clock has jumped back",
+		"incarnation", uint64(inc), "before", uint64(ct.incarnation))
+	ct.incarnation = inc
+	ct.renewRegistration()
+}
+
 func (ct *Controller) applyLoads(now time.Time, loads []roster.Load) {
 	reports := make([]placement.LoadReport, len(loads))
 	for nr, ld := range loads {
--- a/io/gateway/registrar.go
+++ b/io/gateway/registrar.go
@@ -28,7 +28,7 @@
 	store    objects.Store
 	codec    ObjectCodec
 	roster   *roster.Roster
-	self     roster.Peer
+	beats    uint64 // heartbeat counter of the registration
 	log      *slog.Logger
 	renewals chan struct{}
 }
@@ -65,16 +65,24 @@
 }
 
 func (rg *registrar) heartbeat(ctx context.Context) {
-	rg.self.Heartbeat++
+	rg.beats++
 	rg.write(ctx)
 }
 
+// registration returns the present registration of this VM.
+func (rg *registrar) registration() roster.Peer {
+	pr := rg.roster.Self()
+	pr.Heartbeat = rg.beats
+	return pr
+}
+
 // create writes the registration if the VM has none yet, which is the usual case when a fleet starts. It reports whether it
 // did.
 func (rg *registrar) create(ctx context.Context) bool {
 	wctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
-	err := rg.store.Create(wctx, rg.codec.Kinds().VMs, string(rg.self.VM), rg.codec.EncodePeer(rg.self))
+	pr := rg.registration()
+	err := rg.store.Create(wctx, rg.codec.Kinds().VMs, string(pr.VM), rg.codec.EncodePeer(pr))
 	if err != nil && !errors.Is(err, objects.ErrConflict) {
 		rg.log.Warn("creating the registration of this VM failed", "error", err.Error())
 	}
@@ -84,7 +92,8 @@
 func (rg *registrar) write(ctx context.Context) bool {
 	wctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
-	err := rg.store.Put(wctx, rg.codec.Kinds().VMs, string(rg.self.VM), rg.codec.EncodePeer(rg.self))
+	pr := rg.registration()
+	err := rg.store.Put(wctx, rg.codec.Kinds().VMs, string(pr.VM), rg.codec.EncodePeer(pr))
 	if err != nil {
 		rg.log.Warn("writing the registration of this VM failed", "error", err.Error())
 	}
--- a/io/gateway/reports.go
+++ b/io/gateway/reports.go
@@ -14,12 +14,19 @@
 	st := &roster.Status{Report: ct.report(now)}
 	ct.Roster.RecordLoads(st.Report.Loads)
 	direct := make(map[id.VM]*roster.Member, len(members))
+	var outdated []roster.Peer
 	for nr := range members {
 		if members[nr].ReportsDirectly(now) {
 			direct[members[nr].VM] = &members[nr]
 		}
+		if members[nr].RunsOutdated(now, 2*reportInterval) {
+			outdated = append(outdated, members[nr].Peer)
+		}
 	}
 	sd := &reportSender{ct: ct, st: st, direct: direct, sent: map[id.VM]bool{ct.self.VM: true}}
+	for _, pr := range outdated {
+		sd.sendIncarnation(pr)
+	}
 	aggregators := ct.Roster.Aggregators(now, ct.self.FailureDomain)
 	for _, pr := range aggregators {
 		sd.send(pr, nil)
@@ -71,6 +78,18 @@
 	if mb := sd.direct[pr.VM]; mb != nil {
 		rp.Echo, rp.EchoOf = mb.LastReport.Sent, mb.LastReport.Incarnation
 	}
+	sd.deliver(pr, summaries)
+}
+
+// sendIncarnation sends the report to a VM of which a process with a lower incarnation than the known one gave a sign of life. It
+// tells that process the known incarnation, so that it raises its own and is heard again.
+func (sd *reportSender) sendIncarnation(pr roster.Peer) {
+	sd.sent[pr.VM] = true
+	sd.st.Report.Echo, sd.st.Report.EchoOf = 0, pr.Incarnation
+	sd.deliver(pr, nil)
+}
+
+func (sd *reportSender) deliver(pr roster.Peer, summaries []roster.Summary) {
 	sd.st.Summaries = summaries
 	if err := sd.ct.send(pr.StatusAddress, sd.st); err != nil {
 		sd.ct.Log.Debug("sending a report to a peer failed", "peer", string(pr.VM), "error", err.Error())
@@ -85,7 +104,7 @@
 		age = -1
 	}
 	rp := roster.Report{
-		VM: ct.self.VM, Incarnation: ct.self.Incarnation, State: ct.state(), Version: ct.version, EvidenceAge: age,
+		VM: ct.self.VM, Incarnation: ct.incarnation, State: ct.state(), Version: ct.version, EvidenceAge: age,
 		Sent: ct.Lease.Now(), Changes: make(map[string]int64, len(ct.latestChanges)),
 	}
 	rp.SetDemand(ct.Placer.Demand(now))
--- a/io/gateway/snapshot.go
+++ b/io/gateway/snapshot.go
@@ -164,5 +164,6 @@
 		ct.peers = append(ct.peers, pr)
 	}
 	ct.Roster.SetPeers(time.Now(), ct.peers)
+	ct.checkIncarnation()
 	ct.nextRefresh = time.Time{} // send a report to new VMs at once
 }
