Send nothing to targets that say that they leave or want a pause

Change: core/placement applies what a target says about itself (Notice) in one place beside draining, evacuation and ejection. A target that leaves gets nothing until another process has its name: not after a response without the header, nor if the store lists the same process again within ten minutes. A pause lasts until the end of the longest one, ten minutes at most. Retries, hedged attempts and the plan of regions see both. If all targets of a request pause, its refusal names the end of the first pause. Only a response that belongs to the attempt and may be passed on counts; other values are counted as invalid and ignored. A VM doesn't tell its peers: the pause is for it alone, and of leaving each learns from its next response and from the store.

Tests: TestTargetNotices, which without the call in the gateway finds requests at the target after its notice; TestLeavingTarget, TestPausedTarget and TestTargetNoticeValues.

--- a/core/placement/demand.go
+++ b/core/placement/demand.go
@@ -116,7 +116,7 @@
 	pc.mu.Lock()
 	defer pc.mu.Unlock()
 	for name, pl := range pc.pools {
-		capacity := pl.capacity()
+		capacity := pl.capacity(now)
 		if len(capacity) == 0 {
 			continue
 		}
@@ -130,10 +130,10 @@
 }
 
 // capacity returns the number of slots of the pool by region, without targets that get no new requests for now.
-func (pl *pool) capacity() map[id.Region]float64 {
+func (pl *pool) capacity(now time.Time) map[id.Region]float64 {
 	all := map[id.Region]float64{}
 	for _, ts := range pl.targets {
-		if !ts.Draining && !ts.evacuated && !ts.misplaced {
+		if !ts.closed(now) {
 			all[ts.Region] += float64(ts.Slots)
 		}
 	}
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -52,6 +52,7 @@
 	pools       map[id.Pool]*pool
 	warmups     map[id.Pool]Warmup
 	evacuated   map[id.FailureDomain]bool
+	left        map[id.Target]leftProcess // processes that said that they were leaving
 	rankBuffer  []rankedTarget
 }
 
@@ -78,7 +79,7 @@
 func New(op Options) *Placer {
 	return &Placer{
 		op: op, vms: map[id.Region][]id.VM{op.Region: {op.Self}}, targets: map[id.Target]*targetState{}, pools: map[id.Pool]*pool{},
-		warmups: map[id.Pool]Warmup{}, evacuated: map[id.FailureDomain]bool{},
+		warmups: map[id.Pool]Warmup{}, evacuated: map[id.FailureDomain]bool{}, left: map[id.Target]leftProcess{},
 	}
 }
 
@@ -111,6 +112,7 @@
 			delete(pc.targets, name)
 		}
 	}
+	pc.forgetLeft(now)
 	pc.started = pc.started || len(targets) > 0
 	pc.rebuildIndexes()
 }
@@ -126,6 +128,7 @@
 		ts.coldUntil = now.Add(tg.ColdFor)
 	}
 	ts.Target = tg
+	pc.restoreLeaving(now, ts)
 }
 
 // SetEvacuated replaces the set of evacuated failure domains, whose targets get no requests. When an evacuation ends, the
@@ -204,7 +207,7 @@
 	}
 	region, ok := pc.chooseRegion(now, pl, rq, object)
 	if !ok {
-		return Choice{}, &Refusal{Reason: NoTarget, RetryAfter: noTargetRetryAfter}
+		return Choice{}, pc.noTarget(now, pl, rq, "")
 	}
 	return pc.pickInRegion(now, pl, rq, object, region)
 }
@@ -214,7 +217,7 @@
 	cd, ok := pc.bestTarget(now, pl, pl.regions[region], rq, object)
 	ts, wait := cd.target, cd.wait
 	if !ok {
-		return Choice{}, &Refusal{Reason: NoTarget, RetryAfter: noTargetRetryAfter, Region: region}
+		return Choice{}, pc.noTarget(now, pl, rq, region)
 	}
 	ch := Choice{
 		Target: ts.Target, ExpectedWait: wait, HedgeDelay: hedgeDelay(pl.serviceTimesFor(rq), wait, rq.Remaining),
--- a/core/placement/target.go
+++ b/core/placement/target.go
@@ -107,7 +107,9 @@
 	coldUntil time.Time
 	coldPacer pacer
 
-	misplaced           bool // a different target responded at its address
+	misplaced           bool      // a different target responded at its address
+	leaving             bool      // the target has said that it is shutting down
+	pausedUntil         time.Time // until when the target wants no requests from this VM
 	failureRate         float64
 	consecutiveFailures int
 	ejectedUntil        time.Time
@@ -146,7 +148,7 @@
 // usable reports whether this VM may send requests to the target now. After an ejection, it sends one request at a time until
 // one succeeds.
 func (ts *targetState) usable(now time.Time) bool {
-	if ts.Draining || ts.evacuated || ts.misplaced || now.Before(ts.ejectedUntil) {
+	if ts.closed(now) || now.Before(ts.ejectedUntil) {
 		return false
 	}
 	return !ts.probing || ts.ownInFlight == 0
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -118,7 +118,7 @@
 		now := time.Unix(1_800_000_000, 0)
 		registered := peer("b", "x", 10)
 		registered.Incarnation = 9
-		rs := roster.New(peer("a", "x", 10))
+		var rs *roster.Roster
 		for nr := 0; ; nr++ { // find a name with which the VM is the coordinator
 			registered.VM = id.VM(fmt.Sprint("b", nr))
 			rs = roster.New(peer("a", "x", 10))
--- a/io/gateway/adapter.go
+++ b/io/gateway/adapter.go
@@ -89,4 +89,8 @@
 	Signed      bool            // a target has signed the response
 	Load        *placement.Load // load that the target reports; nil if there is none
 	IdleTimeout time.Duration   // how long the target keeps idle connections open; zero if unknown
+	// Notice is what the target says about itself.
+	Notice placement.Notice
+	// InvalidNotice is set if the response has a field for a notice with a value that has no meaning. Such a field is ignored.
+	InvalidNotice bool
 }
--- a/io/gateway/attempt.go
+++ b/io/gateway/attempt.go
@@ -54,6 +54,9 @@
 		oc = rq.readResponse(ctx, lk, resp)
 	}
 	oc.target = ch.ID
+	if oc.resp != nil && !oc.info.Misplaced {
+		rq.sv.applyNotice(ch, &oc.info)
+	}
 	if oc.mayHaveRun {
 		rq.mayHaveRun.Store(true)
 	}
@@ -67,6 +70,24 @@
 	return oc
 }
 
+// applyNotice passes what the target of a choice says about itself to the placer. Only a response that may be passed on counts; the
+// target that responds 421 is another one.
+func (sv *Server) applyNotice(ch *placement.Choice, ri *ResponseInfo) {
+	if ri.InvalidNotice {
+		sv.op.Metrics.countNotice(noticeInvalid)
+	}
+	if !sv.op.Placer.HandleNotice(time.Now(), ch, ri.Notice) {
+		return
+	}
+	kind := noticePause
+	if ri.Notice.Leaving {
+		kind = noticeLeaving
+	}
+	sv.op.Metrics.countNotice(kind)
+	sv.op.Log.Info("target wants no requests", "target", string(ch.ID), "pool", string(ch.Pool), "leaving", ri.Notice.Leaving,
+		"pause_ms", ri.Notice.Pause.Milliseconds())
+}
+
 // attemptReporter reports the result of an attempt to the placer and the metrics, once.
 type attemptReporter struct {
 	rq      *request
--- a/io/gateway/metrics.go
+++ b/io/gateway/metrics.go
@@ -17,8 +17,19 @@
 	losses   map[Loss]tally.Counter
 	latency  tally.Histogram
 	dropped  tally.Counter
+	notices  map[noticeKind]tally.Counter
 }
 
+// noticeKind classifies what targets say about themselves in responses.
+type noticeKind string
+
+// Kinds of notices.
+const (
+	noticeLeaving noticeKind = "leaving" // the target began to leave
+	noticePause   noticeKind = "pause"   // the target asked for a pause
+	noticeInvalid noticeKind = "invalid" // the value had no meaning
+)
+
 // dropCounter exports the number of dropped log lines as a metric.
 type dropCounter struct {
 	log      *asynclog.Writer
@@ -57,7 +68,10 @@
 	mt := &Metrics{
 		attempts: map[placement.ResultKind]tally.Counter{}, results: map[Reason]tally.Counter{}, losses: map[Loss]tally.Counter{},
 		latency: sc.Histogram("request_latency", latencyBuckets),
-		dropped: sc.Counter("log_lines_dropped"),
+		dropped: sc.Counter("log_lines_dropped"), notices: map[noticeKind]tally.Counter{},
+	}
+	for _, kind := range []noticeKind{noticeLeaving, noticePause, noticeInvalid} {
+		mt.notices[kind] = sc.Tagged(map[string]string{"kind": string(kind)}).Counter("target_notices")
 	}
 	for _, kind := range []placement.ResultKind{
 		placement.Succeeded, placement.Failed, placement.Shed, placement.Misplaced, placement.Unreached, placement.Broken, placement.Dropped,
@@ -74,6 +88,8 @@
 	return mt
 }
 
+func (mt *Metrics) countNotice(kind noticeKind) { mt.notices[kind].Inc(1) }
+
 func (mt *Metrics) countAttempt(kind placement.ResultKind) { mt.attempts[kind].Inc(1) }
 
 func (mt *Metrics) countResult(rs Reason, loss Loss, took time.Duration) {
--- a/io/target/client_test.go
+++ b/io/target/client_test.go
@@ -161,7 +161,7 @@
 		rid, ok := sc.next()
 		if rid == "known" {
 			sc.respond(200, rid)
-			rid, ok = sc.next()
+			_, ok = sc.next()
 		}
 		for ; ok; _, ok = sc.next() {
 			sc.respond(503, "")
