--- a/io/gateway/daemon.go
+++ b/io/gateway/daemon.go
@@ -41,6 +41,7 @@
 // Run runs a gateway until the context is canceled, and then shuts it down within the grace period. It loads the settings at
 // the start and again on SIGHUP, and writes its log to out.
 func Run(ctx context.Context, load Loader, ad Adapter, out io.Writer) error {
+	hu := newHangups()
 	gs, err := load()
 	if err != nil {
 		return err
@@ -58,7 +59,7 @@
 	slog.SetDefault(log) // net/http reports unexpected bytes from targets to the default logger
 	lctx, stopLog := context.WithCancel(context.WithoutCancel(ctx))
 	go lw.Run(lctx)
-	err = run(ctx, fx.Supply(gs, load, lv, log, rl, lw), ad, gs.Grace)
+	err = run(ctx, fx.Supply(gs, load, lv, log, rl, lw, hu), ad, gs.Grace)
 	stopLog()
 	lw.Wait()
 	return err
--- a/io/gateway/reload.go
+++ b/io/gateway/reload.go
@@ -24,18 +24,25 @@
 	lease  *lease.Lease
 	budget *placement.RetryBudget
 	log    *slog.Logger
-	signal chan os.Signal
+	signal hangups
+}
+
+// hangups receives SIGHUP. The process keeps receiving it until its end: by default, the signal would end the process, and it may
+// arrive before the settings are read or during the shutdown.
+type hangups <-chan os.Signal
+
+func newHangups() hangups {
+	ch := make(chan os.Signal, 1)
+	signal.Notify(ch, syscall.SIGHUP)
+	return ch
 }
 
 func newReloader(load Loader, lv *slog.LevelVar, ls *lease.Lease, bg *placement.RetryBudget,
-	log *slog.Logger) *reloader {
-	rl := &reloader{load: load, level: lv, lease: ls, budget: bg, log: log, signal: make(chan os.Signal, 1)}
-	signal.Notify(rl.signal, syscall.SIGHUP)
-	return rl
+	log *slog.Logger, hu hangups) *reloader {
+	return &reloader{load: load, level: lv, lease: ls, budget: bg, log: log, signal: hu}
 }
 
 func (rl *reloader) run(ctx context.Context) {
-	defer signal.Stop(rl.signal)
 	for {
 		select {
 		case <-ctx.Done():
