Report the attempt of a hedged request whose response is not used

What targets saw: nothing; a VM counted one request too many at a target until either restarted (found by the review, by reading).

Cause: if both attempts of a hedged request got responses over 64 KiB while the first was still being passed on, the stream of the second was never closed, and closing it is what reports the attempt.

Change: the outcome that is not used is discarded.

Test: TestUnusedLargeResponse, with a slow caller and two targets. Before, only one of two attempts was reported after 15 s.

--- a/io/gateway/hedge.go
+++ b/io/gateway/hedge.go
@@ -38,10 +38,13 @@
 		oc = <-rc.done
 		return rc.finish(oc)
 	}
-	rc.finish(oc)
-	return oc
+	go rc.runDiscard()
+	return rc.finish(oc)
 }
 
+// runDiscard ends the attempt whose response is not used. It may have a stream, which would keep its connection and its slot.
+func (rc *hedge) runDiscard() { (<-rc.done).discard() }
+
 // finish cancels both attempts, but only after the body of the chosen response is closed if it is still being streamed.
 func (rc *hedge) finish(oc *outcome) *outcome {
 	if oc.stream != nil {
