Take only digits for digits in lengths, and read ahead in smaller steps

Found by reading the diff: parseNumber took the control bytes 0x10 to 0x19 for digits. net/http rejects such lengths, so no request with one was served.

A client on a kept connection may send its next request before net/http has ended the watch for the last one. Reading ahead then took a buffer of 2 KiB; it now takes 512 bytes.

The discarded attempt of a hedge gets an owner with a method run, as all goroutines have.

--- a/io/gateway/hedge.go
+++ b/io/gateway/hedge.go
@@ -38,12 +38,15 @@
 		oc = <-rc.done
 		return rc.finish(oc)
 	}
-	go rc.runDiscard()
+	go unusedAttempt{rc.done}.run()
 	return rc.finish(oc)
 }
 
-// runDiscard ends the attempt whose response is not used. It may have a stream, which would keep its connection and its slot.
-func (rc *hedge) runDiscard() { (<-rc.done).discard() }
+// unusedAttempt is the attempt of a hedge whose response is not used.
+type unusedAttempt struct{ done <-chan *outcome }
+
+// run waits for the outcome and discards it. It may have a stream, which would keep its connection and its slot.
+func (ua unusedAttempt) run() { (<-ua.done).discard() }
 
 // finish cancels both attempts, but only after the body of the chosen response is closed if it is still being streamed.
 func (rc *hedge) finish(oc *outcome) *outcome {
--- a/io/inbound/conn.go
+++ b/io/inbound/conn.go
@@ -17,7 +17,7 @@
 	// connection behind more bytes than that is noticed only when the request has ended.
 	maxReadAhead = 16 << 10
 	// readAheadStep is the number of bytes by which the buffer grows.
-	readAheadStep = 2 << 10
+	readAheadStep = 512
 )
 
 // NewListener returns a listener whose connections are owned by this package. They are to be served by a server that was passed
--- a/io/inbound/doc.go
+++ b/io/inbound/doc.go
@@ -5,7 +5,7 @@
 //
 //   - net/http stops watching a connection as soon as a byte of a further request has arrived. A caller that pipelines requests and
 //     then closes its connection would go unnoticed. With this package, the context of the running request is canceled and none
-//     of the further requests is served.
+//     of the further requests is served. As with net/http, a caller that closes only its sending side counts as gone.
 //   - net/http accepts some requests that another implementation may take for two (request smuggling). CheckFraming reports them at
 //     every position on a connection.
 package inbound
--- a/io/inbound/framer.go
+++ b/io/inbound/framer.go
@@ -228,11 +228,8 @@
 		return 0, false
 	}
 	sum := int64(0)
-	for nr := range len(text) {
-		digit := int64(strings.IndexByte("0123456789abcdef", text[nr]|0x20))
-		if text[nr] >= '0' && text[nr] <= '9' {
-			digit = int64(text[nr] - '0')
-		}
+	for _, char := range strings.ToLower(text) {
+		digit := int64(strings.IndexRune("0123456789abcdef", char))
 		if digit < 0 || digit >= base {
 			return 0, false
 		}
