Count a request as possibly run after a response to another request

Cause: introduced with the check of IDs in target.Client. Whether a request may have run was taken from the connection's record of writes. If the foreign response has no body, net/http has already given the connection to the next request, whose attempt resets that record; the request then counted as not run and was refused with 503.

Change: a foreign response proves that the request was written, so it always counts as possibly run.

Test: TestForeignResponseMayHaveRun; before: "may have run: false".

--- a/io/target/client.go
+++ b/io/target/client.go
@@ -187,7 +187,8 @@
 	case cn == nil:
 		er.Kind = DialFailed
 	case errors.Is(err, errForeignResponse):
-		er.Kind = ForeignResponse
+		// A response proves that the request was written. The connection may already carry the next one, which has not been.
+		er.Kind, er.MayHaveRun = ForeignResponse, true
 	case er.MayHaveRun:
 		er.Kind = ResetAfterWrite
 	default:
--- a/io/target/client_test.go
+++ b/io/target/client_test.go
@@ -219,3 +219,14 @@
 		So(st.conns.Load(), ShouldEqual, 2)
 	})
 }
+
+// Guards against a request that counts as not run after a response to another request has arrived, because net/http has already given
+// the connection to the next request, of which nothing has been written yet.
+func TestForeignResponseMayHaveRun(t *testing.T) {
+	ex := &exchange{client: NewClient("t", "127.0.0.1:1", time.Second), out: &OutgoingRequest{ID: "a"}, body: &requestBody{}}
+	ex.cn = &conn{}
+	ex.cn.beginAttempt(time.Now(), 0, "b")
+	if err := ex.classify(context.Background(), errForeignResponse); err.Kind != ForeignResponse || !err.MayHaveRun {
+		t.Errorf("got %v, may have run: %t", err, err.MayHaveRun)
+	}
+}
