--- a/io/objects/informer.go
+++ b/io/objects/informer.go
@@ -30,6 +30,9 @@
 type Snapshot struct {
 	Objects  map[string]Object
 	Revision Revision
+	// Changes are those since the previous snapshot. If FromList is set, they are not known, and Changes is nil: an object that
+	// was created and removed since the previous snapshot leaves no trace in a list.
+	Changes []Change
 	// RequestedAt is the time at which the request was sent, by Options.Clock.
 	RequestedAt lease.Instant
 	FromList    bool // the response was a list, not an update of a watch
@@ -195,7 +198,7 @@
 		in.objects = next
 	}
 	in.revision = max(in.revision, up.Revision)
-	in.apply(Snapshot{RequestedAt: asked, Relayed: up.Relayed}, len(up.Changes) > 0)
+	in.apply(Snapshot{Changes: up.Changes, RequestedAt: asked, Relayed: up.Relayed}, len(up.Changes) > 0)
 }
 
 func (in *Informer) apply(sn Snapshot, changed bool) {
--- a/io/objects/mirror.go
+++ b/io/objects/mirror.go
@@ -30,6 +30,7 @@
 	revision     Revision
 	completeFrom Revision // the history has all changes after this revision
 	history      []historyEntry
+	gaps         []gap         // in ascending order
 	changed      chan struct{} // closed at the next change
 }
 
@@ -39,6 +40,12 @@
 	revision Revision
 }
 
+// gap is a range of revisions, without its ends, in which an object may have been created and removed without a trace in the history.
+type gap struct{ from, to Revision }
+
+// maxGaps is the number of gaps of each kind that a mirror keeps. A watch from an older revision gets ErrHistoryLost.
+const maxGaps = 64
+
 // NewMirror returns an empty mirror. It answers only while fresh returns true, and with ErrMirrorStale otherwise.
 func NewMirror(fresh func() bool) *Mirror {
 	return &Mirror{fresh: fresh, kinds: map[Kind]*mirroredKind{}}
@@ -55,29 +62,60 @@
 		}
 		return
 	}
-	before := len(mk.history)
-	for name, ob := range sn.Objects {
-		if old, ok := mk.objects[name]; !ok || old.Revision != ob.Revision {
-			mk.history = append(mk.history, historyEntry{Change{Object: ob}, sn.Revision})
-		}
+	changes := sn.Changes
+	if sn.FromList {
+		changes = difference(mk.objects, sn.Objects)
+		mk.addGap(sn.Revision)
 	}
-	for name, ob := range mk.objects {
-		if _, ok := sn.Objects[name]; !ok {
-			mk.history = append(mk.history, historyEntry{Change{Object: ob, Removed: true}, sn.Revision})
-		}
+	for _, ch := range changes {
+		mk.history = append(mk.history, historyEntry{ch, sn.Revision})
 	}
 	mk.objects, mk.revision = sn.Objects, max(mk.revision, sn.Revision)
 	if over := len(mk.history) - maxHistory; over > 0 {
-		mk.completeFrom = mk.history[over-1].revision
+		mk.completeFrom = max(mk.completeFrom, mk.history[over-1].revision)
 		mk.history = append([]historyEntry(nil), mk.history[over:]...)
-		before = 0
 	}
-	if len(mk.history) != before {
+	if len(changes) > 0 {
 		close(mk.changed)
 		mk.changed = make(chan struct{})
 	}
 }
 
+// difference returns the changes that turn the objects of one snapshot into those of a later one.
+func difference(before, after map[string]Object) []Change {
+	var changes []Change
+	for name, ob := range after {
+		if old, ok := before[name]; !ok || old.Revision != ob.Revision {
+			changes = append(changes, Change{Object: ob})
+		}
+	}
+	for name, ob := range before {
+		if _, ok := after[name]; !ok {
+			changes = append(changes, Change{Object: ob, Removed: true})
+		}
+	}
+	return changes
+}
+
+// addGap records that the changes since the last known revision are not known one by one.
+func (mk *mirroredKind) addGap(to Revision) {
+	if to <= mk.revision+1 {
+		return
+	}
+	mk.gaps = append(mk.gaps, gap{mk.revision, to})
+	if over := len(mk.gaps) - maxGaps; over > 0 {
+		mk.completeFrom = max(mk.completeFrom, mk.gaps[over-1].to)
+		mk.gaps = append([]gap(nil), mk.gaps[over:]...)
+	}
+}
+
+// hasHistory reports whether the history has all changes after a revision. A VM that has followed another one may have a revision
+// within a gap, and then knows objects that this mirror never had.
+func (mk *mirroredKind) hasHistory(after Revision) bool {
+	nr := sort.Search(len(mk.gaps), func(nr int) bool { return mk.gaps[nr].to > after })
+	return after >= mk.completeFrom && (nr == len(mk.gaps) || after <= mk.gaps[nr].from)
+}
+
 // List implements Reader. It returns ErrMirrorStale before the first snapshot of the kind and while the mirror isn't fresh.
 func (mr *Mirror) List(_ context.Context, kind Kind) (Listing, error) {
 	mr.mu.Lock()
@@ -119,7 +157,7 @@
 	switch {
 	case mk == nil || !mr.fresh():
 		return Update{}, nil, ErrMirrorStale
-	case after < mk.completeFrom:
+	case !mk.hasHistory(after):
 		return Update{}, nil, ErrHistoryLost
 	}
 	up := Update{Revision: max(mk.revision, after), Relayed: true}
--- a/io/objects/objects_test.go
+++ b/io/objects/objects_test.go
@@ -86,9 +86,14 @@
 }
 
 func start(fs *fakeStore, rc *record) (in *objects.Informer, stop func()) {
+	return follow(fs, rc.apply)
+}
+
+// follow starts an informer of the objects of a source.
+func follow(rd objects.Reader, apply func(objects.Snapshot, bool)) (in *objects.Informer, stop func()) {
 	in = objects.New(objects.Options{
-		Store: fs, Kind: "targets", Clock: func() lease.Instant { return lease.Instant(time.Now().UnixNano()) },
-		Log: slog.New(slog.DiscardHandler), WatchWait: func() time.Duration { return 10 * time.Second }, Apply: rc.apply,
+		Store: rd, Kind: "targets", Clock: func() lease.Instant { return lease.Instant(time.Now().UnixNano()) },
+		Log: slog.New(slog.DiscardHandler), WatchWait: func() time.Duration { return 10 * time.Second }, Apply: apply,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	go in.Run(ctx)
@@ -156,7 +161,7 @@
 		rl := objects.NewRelayReader(fs, func() (string, bool) { return strings.TrimPrefix(sv.URL, "http://"), true }, nil,
 			slog.New(slog.DiscardHandler))
 		snapshot := func(rev objects.Revision, names ...string) {
-			sn := objects.Snapshot{Revision: rev, Objects: map[string]objects.Object{}}
+			sn := objects.Snapshot{Revision: rev, Objects: map[string]objects.Object{}, FromList: true}
 			for _, name := range names {
 				sn.Objects[name] = objects.Object{Name: name, Revision: rev, Spec: []byte(`{"x":1}`)}
 			}
