Count the age of a copy from the store's response, for each kind and over all VMs on the way

Causes in the code: a mirror was asked whether it is recent only when a watch began or ended, so a watch was held for up to 3 s after the mirror had become stale; all kinds counted as recent if the configuration was; and a copy that came from another VM counted as new when it arrived.

A response of a mirror now says how old its copy is, for how long the request was held, and through how many VMs the copy came: by durations, so clocks are not compared. The receiver dates its copy back by them. A mirror serves a kind up to an age that depends on the kind and the hops (configuration 1.7 s at a reader and 3.2 s at a VM that follows one, targets and evacuations 2.7 and 4.2 s, VMs 5.7 and 7.2 s), and ends waiting watches at that moment. Watches of a mirror wait 1 s instead of 3 s.

A reader proves its copies of the other kinds with the lists of the configuration that it makes anyway: they name the revision of the store, and a copy known up to it is complete. Only if the store has changes of other kinds does it ask about a copy, with a watch of 1 ms, when the age reaches 1 s (VMs 4 s). This also ends a watch or a pause that an outage left behind.

An earlier version ignores the new field, and its own copies count as new, as before.

--- a/io/gateway/control.go
+++ b/io/gateway/control.go
@@ -27,6 +27,12 @@
 	configPollInterval = 800 * time.Millisecond
 	// sourceGrace is the additional time without a response of the store during which a VM still serves its mirror to others.
 	sourceGrace = 900 * time.Millisecond
+	// relayGrace is the same for responses of another VM.
+	relayGrace = 500 * time.Millisecond
+	// targetsCheckAge is the age at which a reader asks the store about its copies of targets and evacuations while the store has
+	// changes of other kinds. vmsCheckAge is that of the registrations of VMs, on which no bound of the platform depends.
+	targetsCheckAge = time.Second
+	vmsCheckAge     = 4 * time.Second
 	// watchWait is how long a watch waits for changes.
 	watchWait = 10 * time.Second
 	// leaseReadAge is the age of the lease's evidence at which a VM reads the configuration from the store itself.
@@ -99,16 +105,15 @@
 	nextRead    time.Time // earliest time of the next direct read of the configuration
 	lapses      int64     // last seen number of lapses of the lease
 
-	isReader            atomic.Bool // this VM reads the store on behalf of others
-	wantRead            atomic.Bool // the lease is old, so the configuration is read from the store
-	ready               atomic.Bool
-	leaving             atomic.Bool
-	lookup              atomic.Pointer[directory]
-	peers               []roster.Peer
-	mirror              *objects.Mirror
-	lastStoreResponse   atomic.Int64           // time (lease.Instant) of the store's last response about the configuration
-	lastRelayedResponse atomic.Int64           // the same for responses of other VMs
-	source              atomic.Pointer[string] // address of the VM to read from; nil to read the store
+	isReader          atomic.Bool // this VM reads the store on behalf of others
+	wantRead          atomic.Bool // the lease is old, so the configuration is read from the store
+	ready             atomic.Bool
+	leaving           atomic.Bool
+	lookup            atomic.Pointer[directory]
+	peers             []roster.Peer
+	mirror            *objects.Mirror
+	lastStoreResponse atomic.Int64           // time (lease.Instant) of the store's last response about the configuration
+	source            atomic.Pointer[string] // address of the VM to read from; nil to read the store
 	// sourceIsReader is set if the VM at source reads the store itself.
 	sourceIsReader atomic.Bool
 	shortWatch     map[objects.Kind]*atomic.Bool // set if the next watch must return at once
@@ -147,7 +152,7 @@
 		targets: map[string]placement.Target{}, retained: map[string]time.Time{},
 		loaded: map[objects.Kind]bool{}, shortWatch: map[objects.Kind]*atomic.Bool{},
 	}
-	ct.mirror = objects.NewMirror(ct.canServeMirror)
+	ct.mirror = objects.NewMirror(pt.Lease.Now, ct.copyLimit)
 	ks := pt.Adapter.Kinds()
 	for _, kind := range []objects.Kind{ks.Config, ks.Targets, ks.Evacuations, ks.VMs} {
 		ct.shortWatch[kind], ct.progress[kind] = new(atomic.Bool), &watchProgress{}
--- a/io/gateway/source.go
+++ b/io/gateway/source.go
@@ -21,15 +21,65 @@
 
 // apply passes a snapshot to the mirror and the control loop. It runs on the goroutine of the informer.
 func (sr *informerSource) apply(sn objects.Snapshot, changed bool) {
-	sr.ct.mirror.Apply(sr.kind, sn)
-	if sr.kind == sr.ct.Adapter.Kinds().Config {
-		last := &sr.ct.lastStoreResponse
-		if sn.Relayed {
-			last = &sr.ct.lastRelayedResponse
+	ct := sr.ct
+	ct.mirror.Apply(sr.kind, sn)
+	if sr.kind == ct.Adapter.Kinds().Config && !sn.Relayed {
+		ct.lastStoreResponse.Store(int64(ct.Lease.Now()))
+		if sn.FromList {
+			ct.confirmCopies(sn)
 		}
-		last.Store(int64(sr.ct.Lease.Now()))
 	}
-	sr.ct.inbox <- snapshotEvent{sr.kind, sn, changed}
+	ct.inbox <- snapshotEvent{sr.kind, sn, changed}
+}
+
+// confirmCopies confirms the copies of the other kinds by a list of the configuration: it has the revision of the whole store, so
+// a copy that is known up to this revision is complete. A reader asks the store at once about a copy that is not, if its age has
+// reached copyCheckAge. Otherwise a watch that gets no response, or the pause after a failure, could keep it for longer.
+func (ct *Controller) confirmCopies(list objects.Snapshot) {
+	for kind, in := range ct.informers {
+		if kind == ct.Adapter.Kinds().Config || ct.mirror.Confirm(kind, list.Revision, list.RequestedAt) {
+			continue
+		}
+		if age, _, ok := ct.mirror.Age(kind); ok && age > ct.copyCheckAge(kind) && ct.isReader.Load() {
+			ct.shortWatch[kind].Store(true)
+			in.Interrupt()
+		}
+	}
+}
+
+// copyCheckAge returns the age at which a reader asks the store about its copy of a kind.
+func (ct *Controller) copyCheckAge(kind objects.Kind) time.Duration {
+	if kind == ct.Adapter.Kinds().VMs {
+		return vmsCheckAge
+	}
+	return targetsCheckAge
+}
+
+// copyLimit returns the age up to which this VM serves its copy of a kind to others, see objects.CopyLimit. Copies that have passed
+// through more than one other VM are not served, which keeps the chains short.
+func (ct *Controller) copyLimit(kind objects.Kind, hops int) time.Duration {
+	limit := configPollInterval + sourceGrace
+	if kind != ct.Adapter.Kinds().Config {
+		limit += ct.copyCheckAge(kind)
+	}
+	switch hops {
+	case 0:
+		return limit
+	case 1:
+		return limit + objects.MaxRelayWait + relayGrace
+	default:
+		return 0
+	}
+}
+
+// servesCopies reports whether this VM serves copies of all kinds.
+func (ct *Controller) servesCopies() bool {
+	for kind := range ct.informers {
+		if !ct.mirror.Serves(kind) {
+			return false
+		}
+	}
+	return true
 }
 
 // sinceStoreResponse returns the time since the store's last response about the configuration.
@@ -37,20 +87,12 @@
 	return time.Duration(int64(ct.Lease.Now()) - ct.lastStoreResponse.Load())
 }
 
-// followsStore reports whether this VM is a reader and gets responses from the store.
-func (ct *Controller) followsStore() bool {
-	return ct.isReader.Load() && ct.sinceStoreResponse() < configPollInterval+sourceGrace
-}
+// followsStore reports whether this VM is a reader and has recent copies.
+func (ct *Controller) followsStore() bool { return ct.isReader.Load() && ct.servesCopies() }
 
-// followsReader reports whether this VM gets responses from a VM that reads the store.
+// followsReader reports whether this VM has recent copies from a VM that reads the store.
 func (ct *Controller) followsReader() bool {
-	since := time.Duration(int64(ct.Lease.Now()) - ct.lastRelayedResponse.Load())
-	return !ct.isReader.Load() && ct.sourceIsReader.Load() && since < objects.MaxRelayWait+sourceGrace
-}
-
-// canServeMirror reports whether the mirror is recent enough to be read by other VMs.
-func (ct *Controller) canServeMirror() bool {
-	return ct.sinceStoreResponse() < configPollInterval+sourceGrace || ct.followsReader()
+	return !ct.isReader.Load() && ct.sourceIsReader.Load() && ct.servesCopies()
 }
 
 // sourceAddress returns the address of the VM to read from, or false to read the store. If the lease is old, the
--- a/io/objects/informer.go
+++ b/io/objects/informer.go
@@ -35,8 +35,12 @@
 	Changes []Change
 	// RequestedAt is the time at which the request was sent, by Options.Clock.
 	RequestedAt lease.Instant
-	FromList    bool // the response was a list, not an update of a watch
-	Relayed     bool // another VM sent the response, so there may be newer changes in the store
+	// KnownAt is the time, by Options.Clock, for which the store has vouched that there were no other changes. It counts from the
+	// request to the store, also if the objects have come through other VMs.
+	KnownAt  lease.Instant
+	Hops     int  // number of other VMs that the objects have passed through
+	FromList bool // the response was a list, not an update of a watch
+	Relayed  bool // another VM sent the response, so there may be newer changes in the store
 	// RecoveredAt is the time of the first successful request after the last outage. It is zero if there was no outage.
 	RecoveredAt time.Time
 }
@@ -65,6 +69,8 @@
 	objects      map[string]Object
 	revision     Revision
 	listed       bool
+	knownAt      lease.Instant // see Snapshot.KnownAt; not valid before the first list
+	everListed   bool
 	failingSince time.Time // time of the first failure of the last outage
 	recoveredAt  time.Time
 	failures     int
@@ -128,7 +134,7 @@
 	if err != nil {
 		return errors.Is(wctx.Err(), context.Canceled), err
 	}
-	in.applyUpdate(&up, asked)
+	in.applyUpdate(&up, asked, wait)
 	if len(up.Changes) > 0 {
 		sleep(ctx, batchDelay)
 	}
@@ -177,11 +183,40 @@
 		next[ob.Name] = ob
 	}
 	in.objects, in.revision, in.listed = next, max(in.revision, ls.Revision), true
-	in.apply(Snapshot{RequestedAt: asked, FromList: true, Relayed: ls.Relayed}, changed)
+	in.confirm(in.vouchedAt(asked, ls.Copy))
+	in.apply(Snapshot{RequestedAt: asked, Hops: hopsOf(ls.Relayed, ls.Copy), FromList: true, Relayed: ls.Relayed}, changed)
 	return nil
 }
 
-func (in *Informer) applyUpdate(up *Update, asked lease.Instant) {
+// vouchedAt returns the time for which the store vouches with a response to a request sent at the given time. Without a copy, the
+// store itself has responded, or a VM of an earlier version, whose copy then counts as new.
+func (in *Informer) vouchedAt(asked lease.Instant, cp *Copy) lease.Instant {
+	if cp == nil {
+		return asked
+	}
+	held := min(lease.Instant(max(cp.Held, 0)), in.op.Clock()-asked)
+	return asked + held - lease.Instant(max(cp.Age, 0))
+}
+
+// confirm records that the objects were complete at the given time.
+func (in *Informer) confirm(at lease.Instant) {
+	if !in.everListed || at > in.knownAt {
+		in.knownAt, in.everListed = at, true
+	}
+}
+
+func hopsOf(relayed bool, cp *Copy) int {
+	switch {
+	case cp != nil:
+		return cp.Hops + 1
+	case relayed:
+		return 1
+	default:
+		return 0
+	}
+}
+
+func (in *Informer) applyUpdate(up *Update, asked lease.Instant, wait time.Duration) {
 	in.recordRecovery()
 	if len(up.Changes) > 0 {
 		next := make(map[string]Object, len(in.objects)+len(up.Changes))
@@ -198,11 +233,16 @@
 		in.objects = next
 	}
 	in.revision = max(in.revision, up.Revision)
-	in.apply(Snapshot{Changes: up.Changes, RequestedAt: asked, Relayed: up.Relayed}, len(up.Changes) > 0)
+	vouched := in.vouchedAt(asked, up.Copy)
+	if !up.Relayed && len(up.Changes) == 0 && in.op.Clock()-asked >= lease.Instant(wait) {
+		vouched += lease.Instant(wait) // a watch without changes ends after the wait, and not earlier
+	}
+	in.confirm(vouched)
+	in.apply(Snapshot{Changes: up.Changes, RequestedAt: asked, Hops: hopsOf(up.Relayed, up.Copy), Relayed: up.Relayed}, len(up.Changes) > 0)
 }
 
 func (in *Informer) apply(sn Snapshot, changed bool) {
-	sn.Objects, sn.Revision, sn.RecoveredAt = in.objects, in.revision, in.recoveredAt
+	sn.Objects, sn.Revision, sn.KnownAt, sn.RecoveredAt = in.objects, in.revision, in.knownAt, in.recoveredAt
 	in.op.Apply(sn, changed)
 }
 
--- a/io/objects/mirror.go
+++ b/io/objects/mirror.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"damasklatch/core/lease"
+
 	"github.com/pkg/errors"
 )
 
@@ -18,12 +20,16 @@
 // Mirror is a Reader that serves the objects known to informers. Other VMs read from it, because the store
 // limits the number of calls. It is safe for concurrent use.
 type Mirror struct {
-	fresh func() bool // whether the objects are recent enough to be served
+	clock lease.Clock
+	limit CopyLimit
 
 	mu    sync.Mutex
 	kinds map[Kind]*mirroredKind
 }
 
+// CopyLimit returns the age up to which the objects of a kind are served that have passed through a number of other VMs.
+type CopyLimit func(kind Kind, hops int) time.Duration
+
 // mirroredKind holds the objects of a kind and its last changes.
 type mirroredKind struct {
 	objects      map[string]Object
@@ -32,6 +38,8 @@
 	history      []historyEntry
 	gaps         []gap         // in ascending order
 	changed      chan struct{} // closed at the next change
+	knownAt      lease.Instant // see Snapshot.KnownAt
+	hops         int           // number of other VMs that the objects have passed through
 }
 
 // historyEntry is a change with the revision of the snapshot that contained it.
@@ -46,9 +54,57 @@
 // maxGaps is the number of gaps of each kind that a mirror keeps. A watch from an older revision gets ErrHistoryLost.
 const maxGaps = 64
 
-// NewMirror returns an empty mirror. It answers only while fresh returns true, and with ErrMirrorStale otherwise.
-func NewMirror(fresh func() bool) *Mirror {
-	return &Mirror{fresh: fresh, kinds: map[Kind]*mirroredKind{}}
+// NewMirror returns an empty mirror. It answers with ErrMirrorStale when the age of the objects reaches the limit, which counts end
+// to end from the request to the store.
+func NewMirror(clock lease.Clock, limit CopyLimit) *Mirror {
+	return &Mirror{clock: clock, limit: limit, kinds: map[Kind]*mirroredKind{}}
+}
+
+// Age returns the time since the moment for which the store has vouched for the objects of a kind, and the number of other VMs
+// that they have passed through. It returns false before the first snapshot.
+func (mr *Mirror) Age(kind Kind) (age time.Duration, hops int, ok bool) {
+	mr.mu.Lock()
+	defer mr.mu.Unlock()
+	mk := mr.kinds[kind]
+	if mk == nil {
+		return 0, 0, false
+	}
+	return mr.age(mk), mk.hops, true
+}
+
+func (mr *Mirror) age(mk *mirroredKind) time.Duration { return time.Duration(mr.clock() - mk.knownAt) }
+
+// Serves reports whether the objects of a kind are recent enough to be served.
+func (mr *Mirror) Serves(kind Kind) bool {
+	mr.mu.Lock()
+	defer mr.mu.Unlock()
+	_, ok := mr.staleIn(kind)
+	return ok
+}
+
+// staleIn returns the time until the objects of a kind are too old to be served. It returns false if they are.
+func (mr *Mirror) staleIn(kind Kind) (time.Duration, bool) {
+	mk := mr.kinds[kind]
+	if mk == nil {
+		return 0, false
+	}
+	left := mr.limit(kind, mk.hops) - mr.age(mk)
+	return left, left > 0
+}
+
+// Confirm records that the store had a revision at the given time. This proves that the objects of a kind are complete if they are
+// known up to that revision; otherwise, or before the first snapshot, it returns false.
+func (mr *Mirror) Confirm(kind Kind, rev Revision, at lease.Instant) bool {
+	mr.mu.Lock()
+	defer mr.mu.Unlock()
+	mk := mr.kinds[kind]
+	if mk == nil || mk.revision < rev {
+		return false
+	}
+	if at > mk.knownAt {
+		mk.knownAt, mk.hops = at, 0
+	}
+	return true
 }
 
 // Apply replaces the objects of a kind by a snapshot, and ends the waits of watches if there are changes.
@@ -59,9 +115,13 @@
 	if mk == nil {
 		mr.kinds[kind] = &mirroredKind{
 			objects: sn.Objects, revision: sn.Revision, completeFrom: sn.Revision, changed: make(chan struct{}),
+			knownAt: sn.KnownAt, hops: sn.Hops,
 		}
 		return
 	}
+	if sn.KnownAt >= mk.knownAt {
+		mk.knownAt, mk.hops = sn.KnownAt, sn.Hops
+	}
 	changes := sn.Changes
 	if sn.FromList {
 		changes = difference(mk.objects, sn.Objects)
@@ -121,48 +181,65 @@
 	mr.mu.Lock()
 	defer mr.mu.Unlock()
 	mk := mr.kinds[kind]
-	if mk == nil || !mr.fresh() {
+	if _, ok := mr.staleIn(kind); !ok {
 		return Listing{}, ErrMirrorStale
 	}
-	ls := Listing{Revision: mk.revision, Relayed: true}
+	ls := Listing{Revision: mk.revision, Relayed: true, Copy: &Copy{Age: mr.age(mk), Hops: mk.hops}}
 	for _, ob := range mk.objects {
 		ls.Objects = append(ls.Objects, ob)
 	}
 	return ls, nil
 }
 
-// Watch implements Reader. It returns only the latest change of each object.
+// Watch implements Reader. It returns only the latest change of each object. It returns ErrMirrorStale as soon as the objects are
+// too old, so that the other VM looks elsewhere before the end of the wait.
 func (mr *Mirror) Watch(ctx context.Context, kind Kind, after Revision, wait time.Duration) (Update, error) {
+	asked := mr.clock()
 	tm := time.NewTimer(wait)
 	defer tm.Stop()
 	for over := false; ; {
-		up, changed, err := mr.changesSince(kind, after)
-		if err != nil || len(up.Changes) > 0 || over {
-			return up, err
+		up, changed, stale, err := mr.changesSince(kind, after)
+		if err != nil {
+			return Update{}, err
 		}
+		if len(up.Changes) > 0 || over {
+			up.Copy.Held = time.Duration(mr.clock() - asked)
+			return up, nil
+		}
+		old := time.NewTimer(max(stale, minStaleCheck))
 		select {
 		case <-changed:
+		case <-old.C:
 		case <-tm.C:
 			over = true
 		case <-ctx.Done():
-			return Update{}, errors.Wrap(ctx.Err(), "watch of a mirror")
+			err = errors.Wrap(ctx.Err(), "watch of a mirror")
+		}
+		old.Stop()
+		if err != nil {
+			return Update{}, err
 		}
 	}
 }
 
-func (mr *Mirror) changesSince(kind Kind, after Revision) (Update, <-chan struct{}, error) {
+// minStaleCheck is the shortest interval at which a waiting watch checks the age of the objects: the timer and the clock of the age
+// may differ a little.
+const minStaleCheck = time.Millisecond
+
+func (mr *Mirror) changesSince(kind Kind, after Revision) (up Update, changed <-chan struct{}, stale time.Duration, err error) {
 	mr.mu.Lock()
 	defer mr.mu.Unlock()
 	mk := mr.kinds[kind]
+	stale, ok := mr.staleIn(kind)
 	switch {
-	case mk == nil || !mr.fresh():
-		return Update{}, nil, ErrMirrorStale
+	case !ok:
+		return Update{}, nil, 0, ErrMirrorStale
 	case !mk.hasHistory(after):
-		return Update{}, nil, ErrHistoryLost
+		return Update{}, nil, 0, ErrHistoryLost
 	}
-	up := Update{Revision: max(mk.revision, after), Relayed: true}
+	up = Update{Revision: max(mk.revision, after), Relayed: true, Copy: &Copy{Age: mr.age(mk), Hops: mk.hops}}
 	up.Changes = latestChanges(mk.history, after)
-	return up, mk.changed, nil
+	return up, mk.changed, stale, nil
 }
 
 // latestChanges returns the last change of each object after a revision, in the order of the history.
--- a/io/objects/objects_test.go
+++ b/io/objects/objects_test.go
@@ -15,7 +15,6 @@
 	"github.com/pkg/errors"
 	. "github.com/smartystreets/goconvey/convey"
 
-	"damasklatch/core/lease"
 	"damasklatch/io/objects"
 )
 
@@ -92,7 +91,7 @@
 // follow starts an informer of the objects of a source.
 func follow(rd objects.Reader, apply func(objects.Snapshot, bool)) (in *objects.Informer, stop func()) {
 	in = objects.New(objects.Options{
-		Store: rd, Kind: "targets", Clock: func() lease.Instant { return lease.Instant(time.Now().UnixNano()) },
+		Store: rd, Kind: "targets", Clock: bootClock,
 		Log: slog.New(slog.DiscardHandler), WatchWait: func() time.Duration { return 10 * time.Second }, Apply: apply,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -151,8 +150,8 @@
 // mirror, and fall back to the store when the mirror is stale.
 func TestRelay(t *testing.T) {
 	Convey("a mirror that is served to another VM", t, func() {
-		fresh := true
-		mr := objects.NewMirror(func() bool { return fresh })
+		limit := time.Hour
+		mr := objects.NewMirror(bootClock, func(objects.Kind, int) time.Duration { return limit })
 		rt := mux.NewRouter()
 		rt.Handle(objects.MirrorPath, mr.Handler())
 		sv := httptest.NewServer(rt)
@@ -161,7 +160,7 @@
 		rl := objects.NewRelayReader(fs, func() (string, bool) { return strings.TrimPrefix(sv.URL, "http://"), true }, nil,
 			slog.New(slog.DiscardHandler))
 		snapshot := func(rev objects.Revision, names ...string) {
-			sn := objects.Snapshot{Revision: rev, Objects: map[string]objects.Object{}, FromList: true}
+			sn := objects.Snapshot{Revision: rev, Objects: map[string]objects.Object{}, FromList: true, KnownAt: bootClock()}
 			for _, name := range names {
 				sn.Objects[name] = objects.Object{Name: name, Revision: rev, Spec: []byte(`{"x":1}`)}
 			}
@@ -200,7 +199,7 @@
 		So(err, ShouldEqual, objects.ErrHistoryLost)
 		So(fs.lists+fs.watches, ShouldEqual, 0)
 
-		fresh = false
+		limit = 0
 		ls, err = rl.List(ctx, "targets")
 		So(err, ShouldBeNil)
 		So(ls.Relayed, ShouldBeFalse)
@@ -230,7 +229,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		fs, rc := &fakeStore{names: []string{"a"}, rev: 5}, &record{}
 		in := objects.New(objects.Options{
-			Store: fs, Kind: "targets", Clock: func() lease.Instant { return lease.Instant(time.Now().UnixNano()) },
+			Store: fs, Kind: "targets", Clock: bootClock,
 			Log: slog.New(slog.DiscardHandler), WatchWait: func() time.Duration { return 10 * time.Second }, Apply: rc.apply,
 			ExpectsInterrupt: func() bool { return true },
 		})
--- a/io/objects/relay.go
+++ b/io/objects/relay.go
@@ -54,8 +54,9 @@
 }
 
 const (
-	// MaxRelayWait is the longest wait of a watch at another VM. Such watches can be short, as they cause no call to the store.
-	MaxRelayWait     = 3 * time.Second
+	// MaxRelayWait is the longest wait of a watch at another VM. Such watches can be short, as they cause no call to the store. Each
+	// response confirms the copy of the VM that asked.
+	MaxRelayWait     = time.Second
 	relayMargin      = 500 * time.Millisecond
 	relayDialTimeout = 300 * time.Millisecond
 	// avoidTime is the time for which a VM is not asked again after a failure.
--- a/io/objects/store.go
+++ b/io/objects/store.go
@@ -40,18 +40,28 @@
 	ErrNotFound = errors.New("the object does not exist")
 )
 
+// Copy tells how a response was made from the copy of another VM. Its fields are durations: the clocks of two VMs are never compared.
+// They are encoded as JSON under their Go names, in nanoseconds.
+type Copy struct {
+	Age  time.Duration // time between the moment for which the store vouched for the copy and the sending of the response
+	Held time.Duration // time between the arrival of the request and the sending of the response
+	Hops int           // number of other VMs that the copy has passed through
+}
+
 // Listing holds all objects of a kind at a revision of the store. Its fields are encoded as JSON under their Go names.
 type Listing struct {
 	Objects  []Object
 	Revision Revision
-	Relayed  bool // set if another VM sent it, so there may be newer changes in the store
+	Relayed  bool  // set if another VM sent it, so there may be newer changes in the store
+	Copy     *Copy `json:",omitempty"` // nil if the store sent it, or a VM of an earlier version
 }
 
 // Update holds the changes of a kind up to a revision of the store. Its fields are encoded as JSON under their Go names.
 type Update struct {
 	Changes  []Change
 	Revision Revision
-	Relayed  bool // set if another VM sent it, so there may be newer changes in the store
+	Relayed  bool  // set if another VM sent it, so there may be newer changes in the store
+	Copy     *Copy `json:",omitempty"` // nil if the store sent it, or a VM of an earlier version
 }
 
 // Reader reads objects. It is the part of a Store that an Informer needs.
