Ask another VM when the copy of the source is stale or lacks a change

A VM that heard of a change which its watch had not delivered for 0.7 s repeated the watch at the same source, every 0.7 s, also if the source itself was behind. If the source refused because it was stale, each of its followers asked the store.

A VM now knows up to three VMs to read from, in order of preference. A request asks up to two that have not failed in the last second, and then the store. A source that lacks a known change, or whose list is older than the known objects, counts as failed for that kind.

--- a/io/gateway/control.go
+++ b/io/gateway/control.go
@@ -91,6 +91,7 @@
 	started           time.Time
 
 	informers     map[objects.Kind]*objects.Informer
+	relays        map[objects.Kind]*objects.RelayReader
 	latestChanges map[objects.Kind]objects.Revision // revision of the newest change seen
 	progress      map[objects.Kind]*watchProgress
 	version       id.Generation // of the configuration in force; 0 if there is none
@@ -112,9 +113,9 @@
 	lookup            atomic.Pointer[directory]
 	peers             []roster.Peer
 	mirror            *objects.Mirror
-	lastStoreResponse atomic.Int64           // time (lease.Instant) of the store's last response about the configuration
-	source            atomic.Pointer[string] // address of the VM to read from; nil to read the store
-	// sourceIsReader is set if the VM at source reads the store itself.
+	lastStoreResponse atomic.Int64             // time (lease.Instant) of the store's last response about the configuration
+	sources           atomic.Pointer[[]string] // addresses of the VMs to read from, in order of preference
+	// sourceIsReader is set if the first VM of sources reads the store itself.
 	sourceIsReader atomic.Bool
 	shortWatch     map[objects.Kind]*atomic.Bool // set if the next watch must return at once
 }
@@ -147,7 +148,7 @@
 	now := time.Now()
 	ct := &Controller{
 		Components: pt, self: self, incarnation: self.Incarnation, send: send, renewRegistration: renewRegistration, started: now, lastTick: now,
-		inbox: make(chan event, inboxSize), informers: map[objects.Kind]*objects.Informer{},
+		inbox: make(chan event, inboxSize), informers: map[objects.Kind]*objects.Informer{}, relays: map[objects.Kind]*objects.RelayReader{},
 		latestChanges: map[objects.Kind]objects.Revision{}, progress: map[objects.Kind]*watchProgress{},
 		targets: map[string]placement.Target{}, retained: map[string]time.Time{},
 		loaded: map[objects.Kind]bool{}, shortWatch: map[objects.Kind]*atomic.Bool{},
@@ -157,10 +158,12 @@
 	for _, kind := range []objects.Kind{ks.Config, ks.Targets, ks.Evacuations, ks.VMs} {
 		ct.shortWatch[kind], ct.progress[kind] = new(atomic.Bool), &watchProgress{}
 		src := &informerSource{ct: ct, kind: kind}
-		from := objects.NewRelayReader(pt.Store, src.sourceAddress, seedsOf(pt.Settings), pt.Log)
+		from := objects.NewRelayReader(pt.Store, src.sourceAddresses, seedsOf(pt.Settings), pt.Log)
+		ct.relays[kind] = from
 		from.WaitForSourceUntil(now.Add(sourceWaitTime))
 		ct.informers[kind] = objects.New(objects.Options{
-			Store: from, Kind: kind, Clock: pt.Lease.Now, Log: pt.Log, WatchWait: src.watchWait, PollInterval: src.pollInterval, ExpectsInterrupt: ct.expectsInterrupt, Apply: src.apply,
+			Store: from, Kind: kind, Clock: pt.Lease.Now, Log: pt.Log, WatchWait: src.watchWait, PollInterval: src.pollInterval, ExpectsInterrupt: ct.expectsInterrupt,
+			SourceBehind: from.AvoidSource, Apply: src.apply,
 		})
 	}
 	return ct
--- a/io/gateway/source.go
+++ b/io/gateway/source.go
@@ -95,16 +95,16 @@
 	return !ct.isReader.Load() && ct.sourceIsReader.Load() && ct.servesCopies()
 }
 
-// sourceAddress returns the address of the VM to read from, or false to read the store. If the lease is old, the
-// configuration is read from the store, because only the store's responses renew the lease.
-func (sr *informerSource) sourceAddress() (string, bool) {
+// sourceAddresses returns the addresses of the VMs to read from, or none to read the store. If the lease is old, the configuration is
+// read from the store, because only the store's responses renew the lease.
+func (sr *informerSource) sourceAddresses() []string {
 	ct := sr.ct
-	address := ct.source.Load()
+	all := ct.sources.Load()
 	evidence := sr.kind == ct.Adapter.Kinds().Config && ct.wantRead.Load()
-	if ct.isReader.Load() || evidence || address == nil {
-		return "", false
+	if ct.isReader.Load() || evidence || all == nil {
+		return nil
 	}
-	return *address, true
+	return *all
 }
 
 // expectsInterrupt reports whether this VM may wait for other VMs to read the store. It is interrupted as soon as there is
@@ -138,13 +138,14 @@
 	return gs.Seeds
 }
 
-// catchUp restarts watches that lack changes seen by other VMs, and reads the configuration from the store if the lease is
+// catchUp restarts watches that lack changes seen by other VMs, at another VM if there is one, and reads the configuration from the store if the lease is
 // old.
 func (ct *Controller) catchUp(now time.Time) {
 	for kind, pg := range ct.progress {
 		if !pg.stalled(now) {
 			continue
 		}
+		ct.relays[kind].AvoidSource()
 		ct.shortWatch[kind].Store(true)
 		ct.informers[kind].Interrupt()
 		ct.Log.Info("watch missed a change", "kind", string(kind))
@@ -163,7 +164,10 @@
 	}
 }
 
-// updateSource chooses the VM to read from. Aggregators read from a reader of the store, and other VMs from a VM of their
+// maxSources is the number of VMs that are chosen to read from. The others stand in for the first one if it fails.
+const maxSources = 3
+
+// updateSource chooses the VMs to read from. Aggregators read from a reader of the store, and other VMs from a VM of their
 // failure domain that is a reader or reads from one. This way each reader serves only a few VMs.
 func (ct *Controller) updateSource(now time.Time, members []roster.Member) {
 	aggregator := ct.Roster.IsAggregator(now)
@@ -184,21 +188,33 @@
 			add(2, mb)
 		}
 	}
-	key := rendezvous.Hash(string(ct.self.VM))
+	chosen := chooseSources(rendezvous.Hash(string(ct.self.VM)), ranks[:])
+	ct.switchSources(chosen, len(chosen) > 0 && firstHand[chosen[0]])
+}
+
+// chooseSources returns up to maxSources of the addresses, those of earlier ranks first. Different keys choose differently within a
+// rank.
+func chooseSources(key uint64, ranks [][]string) []string {
+	var chosen []string
 	for _, rank := range ranks {
-		if address, ok := rendezvous.Pick(key, rank); ok {
-			ct.switchSource(&address, firstHand[address])
-			return
+		left := slices.Clone(rank)
+		for len(chosen) < maxSources {
+			address, ok := rendezvous.Pick(key, left)
+			if !ok {
+				break
+			}
+			chosen = append(chosen, address)
+			left = slices.DeleteFunc(left, func(other string) bool { return other == address })
 		}
 	}
-	ct.switchSource(nil, false)
+	return chosen
 }
 
-// switchSource sets the VM to read from. If it changes, the current watches are interrupted.
-func (ct *Controller) switchSource(address *string, firstHand bool) {
+// switchSources sets the VMs to read from. If the first one changes, the current watches are interrupted.
+func (ct *Controller) switchSources(chosen []string, firstHand bool) {
 	ct.sourceIsReader.Store(firstHand)
-	before := ct.source.Swap(address)
-	if before == nil && address == nil || before != nil && address != nil && *before == *address {
+	before := ct.sources.Swap(&chosen)
+	if before == nil && len(chosen) == 0 || before != nil && slices.Equal((*before)[:min(1, len(*before))], chosen[:min(1, len(chosen))]) {
 		return
 	}
 	for _, in := range ct.informers {
--- a/io/gateway/source_test.go
+++ b/io/gateway/source_test.go
@@ -33,3 +33,26 @@
 		})
 	})
 }
+
+// A VM without a second source asks the store while the first one fails.
+func TestChooseSources(t *testing.T) {
+	Convey("the sources", t, func() {
+		Convey("are VMs of the first rank, then of the next ones", func() {
+			chosen := chooseSources(7, [][]string{{"a", "b"}, nil, {"x", "y"}})
+			So(chosen, ShouldHaveLength, maxSources)
+			So(chosen[:2], ShouldContain, "a")
+			So(chosen[:2], ShouldContain, "b")
+			So([]string{"x", "y"}, ShouldContain, chosen[2])
+		})
+		Convey("differ between VMs, so that each source serves only a few", func() {
+			first := map[string]bool{}
+			for key := range uint64(32) {
+				first[chooseSources(key, [][]string{{"a", "b", "c"}})[0]] = true
+			}
+			So(first, ShouldHaveLength, 3)
+		})
+		Convey("are none if no VM can be read from", func() {
+			So(chooseSources(7, [][]string{nil, nil, nil}), ShouldBeEmpty)
+		})
+	})
+}
--- a/io/objects/informer.go
+++ b/io/objects/informer.go
@@ -59,6 +59,8 @@
 	// ExpectsInterrupt reports whether Interrupt will be called as soon as requests can succeed again. The informer then pauses
 	// longer after failures. It may be nil, which means no.
 	ExpectsInterrupt func() bool
+	// SourceBehind is called if the list of another VM is older than the known objects. It may be nil.
+	SourceBehind func()
 	// Apply is called with each response, on the goroutine of Run. It must not modify the objects, but may keep them.
 	Apply func(sn Snapshot, changed bool)
 }
@@ -172,6 +174,9 @@
 		return err
 	}
 	if ls.Relayed && ls.Revision < in.revision {
+		if in.op.SourceBehind != nil {
+			in.op.SourceBehind()
+		}
 		return errSourceBehind
 	}
 	in.recordRecovery()
--- a/io/objects/objects_test.go
+++ b/io/objects/objects_test.go
@@ -157,7 +157,7 @@
 		sv := httptest.NewServer(rt)
 		defer sv.Close()
 		fs := &fakeStore{names: []string{"from-store"}, rev: 90}
-		rl := objects.NewRelayReader(fs, func() (string, bool) { return strings.TrimPrefix(sv.URL, "http://"), true }, nil,
+		rl := objects.NewRelayReader(fs, func() []string { return []string{strings.TrimPrefix(sv.URL, "http://")} }, nil,
 			slog.New(slog.DiscardHandler))
 		snapshot := func(rev objects.Revision, names ...string) {
 			sn := objects.Snapshot{Revision: rev, Objects: map[string]objects.Object{}, FromList: true, KnownAt: bootClock()}
@@ -212,7 +212,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		fs := &fakeStore{rev: 5}
 		asked := time.Now()
-		rl := objects.NewRelayReader(fs, func() (string, bool) { return "", false }, nil, slog.New(slog.DiscardHandler))
+		rl := objects.NewRelayReader(fs, func() []string { return nil }, nil, slog.New(slog.DiscardHandler))
 		rl.WaitForSourceUntil(asked.Add(time.Second))
 		if _, err := rl.Watch(t.Context(), "targets", 5, time.Second); err != nil {
 			t.Fatal(err)
--- a/io/objects/relay.go
+++ b/io/objects/relay.go
@@ -59,33 +59,36 @@
 	MaxRelayWait     = time.Second
 	relayMargin      = 500 * time.Millisecond
 	relayDialTimeout = 300 * time.Millisecond
-	// avoidTime is the time for which a VM is not asked again after a failure.
+	// avoidTime is the time for which a VM is not asked again after a failure, or if its copy lacks known changes.
 	avoidTime = time.Second
+	// maxSources is the number of VMs that are asked before the store is. During an outage of the store, all of them refuse.
+	maxSources = 2
 	// maxRelayResponse is the maximum size of another VM's response, in bytes.
 	maxRelayResponse = 16 << 20
 )
 
-// RelayReader is a Reader that asks the mirror of another VM if there is one, and the store otherwise. It is safe for concurrent
+// RelayReader is a Reader that asks the mirrors of other VMs if there are any, and the store otherwise. It is safe for concurrent
 // use.
 type RelayReader struct {
 	store     Reader
-	source    func() (address string, ok bool)
-	seeds     []string  // addresses asked for lists until waitUntil, if the source gives no list
+	sources   func() []string
+	seeds     []string  // addresses asked for lists until waitUntil, if no source gives a list
 	waitUntil time.Time // until then, watches wait for a source and lists are asked of seeds
 	http      *http.Client
 	log       *slog.Logger
 
 	mu         sync.Mutex
 	avoidUntil map[string]time.Time // by address of a VM that failed
+	last       string               // address of the VM that was asked last; empty if the store was
 }
 
-// NewRelayReader returns a reader. Source returns the address of the VM to ask, or false to ask the store itself. Until the time
-// set by WaitForSourceUntil, the VMs at the seed addresses are asked for lists before the store is. Otherwise all VMs of a
+// NewRelayReader returns a reader. Sources returns the addresses of the VMs to ask, in order of preference; if there are none, or
+// they fail, the store is asked. Until the time set by WaitForSourceUntil, the VMs at the seed addresses are asked for lists before the store is. Otherwise all VMs of a
 // starting fleet would send list requests to the store.
-func NewRelayReader(store Reader, source func() (string, bool), seeds []string, log *slog.Logger) *RelayReader {
+func NewRelayReader(store Reader, sources func() []string, seeds []string, log *slog.Logger) *RelayReader {
 	dl := &net.Dialer{Timeout: relayDialTimeout}
 	return &RelayReader{
-		store: store, source: source, seeds: seeds, log: log, avoidUntil: map[string]time.Time{},
+		store: store, sources: sources, seeds: seeds, log: log, avoidUntil: map[string]time.Time{},
 		http: &http.Client{Transport: &http.Transport{DialContext: dl.DialContext, MaxIdleConnsPerHost: 4}},
 	}
 }
@@ -99,18 +102,30 @@
 
 func (rl *RelayReader) awaitSource(ctx context.Context) {
 	for time.Now().Before(rl.waitUntil) && ctx.Err() == nil {
-		if _, ok := rl.source(); ok {
+		if len(rl.sources()) > 0 {
 			return
 		}
 		sleep(ctx, sourceCheckInterval)
 	}
 }
 
-// List implements Reader. If the source or the seeds fail, it asks the store.
+// AvoidSource makes the reader ask others than the VM that it has asked last, for avoidTime. It must be called if the copy of that VM
+// lacks a change that the caller knows of.
+func (rl *RelayReader) AvoidSource() {
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	if rl.last != "" {
+		rl.avoidUntil[rl.last] = time.Now().Add(avoidTime)
+	}
+}
+
+// List implements Reader. If the sources and the seeds fail, it asks the store.
 func (rl *RelayReader) List(ctx context.Context, kind Kind) (Listing, error) {
 	var ls Listing
-	if address, ok := rl.pickSource(); ok && rl.ask(ctx, address, kind, nil, relayMargin, &ls) == nil {
-		return ls, nil
+	for _, address := range rl.available() {
+		if rl.ask(ctx, address, kind, nil, relayMargin, &ls) == nil {
+			return ls, nil
+		}
 	}
 	for len(rl.seeds) > 0 && time.Now().Before(rl.waitUntil) && ctx.Err() == nil {
 		address := rl.seeds[rand.N(len(rl.seeds))]
@@ -119,40 +134,50 @@
 		}
 		sleep(ctx, sourceCheckInterval)
 	}
+	rl.setLast("")
 	return rl.store.List(ctx, kind)
 }
 
-// Watch implements Reader. If the source fails for another reason than a lost history, it asks the store.
+// Watch implements Reader. If the sources fail for another reason than a lost history, it asks the store.
 func (rl *RelayReader) Watch(ctx context.Context, kind Kind, after Revision, wait time.Duration) (Update, error) {
 	rl.awaitSource(ctx)
-	address, ok := rl.pickSource()
-	if !ok {
-		return rl.store.Watch(ctx, kind, after, wait)
-	}
 	short := min(wait, MaxRelayWait)
 	query := url.Values{
 		"after": {strconv.FormatInt(int64(after), 10)}, "wait_ms": {strconv.FormatInt(short.Milliseconds(), 10)},
 	}
-	var up Update
-	err := rl.ask(ctx, address, kind, query, short+relayMargin, &up)
-	if err == nil || errors.Is(err, ErrHistoryLost) {
-		return up, err
+	for _, address := range rl.available() {
+		var up Update
+		err := rl.ask(ctx, address, kind, query, short+relayMargin, &up)
+		if err == nil || errors.Is(err, ErrHistoryLost) {
+			return up, err
+		}
 	}
+	rl.setLast("")
 	return rl.store.Watch(ctx, kind, after, wait)
 }
 
-// pickSource returns the address of the VM to ask. It returns false if there is none or if it has failed recently.
-func (rl *RelayReader) pickSource() (string, bool) {
-	address, ok := rl.source()
-	if !ok {
-		return "", false
+// available returns the addresses of the VMs to ask, without those that have failed recently.
+func (rl *RelayReader) available() []string {
+	now, all := time.Now(), rl.sources()
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	var list []string
+	for _, address := range all {
+		if len(list) < maxSources && now.After(rl.avoidUntil[address]) {
+			list = append(list, address)
+		}
 	}
+	return list
+}
+
+func (rl *RelayReader) setLast(address string) {
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
-	return address, time.Now().After(rl.avoidUntil[address])
+	rl.last = address
 }
 
 func (rl *RelayReader) ask(ctx context.Context, address string, kind Kind, query url.Values, limit time.Duration, out any) error {
+	rl.setLast(address)
 	actx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	err := rl.get(actx, "http://"+address+"/v1/objects/"+url.PathEscape(string(kind))+"?"+query.Encode(), out)
