Export the age of the copies of each kind as metrics

damasklatch_copy_age and damasklatch_copy_hops, by kind: neither logs nor metrics told how old a VM's copy of the store was, or through how many VMs it had come.

--- a/io/gateway/control.go
+++ b/io/gateway/control.go
@@ -234,5 +234,6 @@
 	ct.updateCoordinated(now)
 	ct.updatePlan(now)
 	ct.updateReady(now, members)
+	ct.exportCopies()
 	ct.sendReports(now, members)
 }
--- a/io/gateway/metrics.go
+++ b/io/gateway/metrics.go
@@ -7,12 +7,14 @@
 
 	"damasklatch/core/placement"
 	"damasklatch/io/asynclog"
+	"damasklatch/io/objects"
 
 	"github.com/uber-go/tally/v4"
 )
 
 // Metrics holds the counters and histograms of a gateway. It is safe for concurrent use.
 type Metrics struct {
+	scope    tally.Scope
 	attempts map[placement.ResultKind]tally.Counter
 	results  map[Reason]tally.Counter
 	losses   map[Loss]tally.Counter
@@ -69,7 +71,7 @@
 func NewMetrics(sc tally.Scope) *Metrics {
 	mt := &Metrics{
 		attempts: map[placement.ResultKind]tally.Counter{}, results: map[Reason]tally.Counter{}, losses: map[Loss]tally.Counter{},
-		latency: sc.Histogram("request_latency", latencyBuckets),
+		scope: sc, latency: sc.Histogram("request_latency", latencyBuckets),
 		dropped: sc.Counter("log_lines_dropped"), notices: map[noticeKind]tally.Counter{},
 		unstated: map[int]tally.Counter{},
 	}
@@ -96,6 +98,13 @@
 
 func (mt *Metrics) countNotice(kind noticeKind) { mt.notices[kind].Inc(1) }
 
+// setCopyAge exports the age of this VM's copy of a kind of objects and the number of other VMs that it has passed through.
+func (mt *Metrics) setCopyAge(kind objects.Kind, age time.Duration, hops int) {
+	sc := mt.scope.Tagged(map[string]string{"kind": string(kind)})
+	sc.Gauge("copy_age").Update(age.Seconds())
+	sc.Gauge("copy_hops").Update(float64(hops))
+}
+
 func (mt *Metrics) countAttempt(kind placement.ResultKind) { mt.attempts[kind].Inc(1) }
 
 // countUnstated counts a response of a target whose status is one of notRunStatuses, without a statement of the target.
--- a/io/gateway/source.go
+++ b/io/gateway/source.go
@@ -82,6 +82,15 @@
 	return true
 }
 
+// exportCopies exports the ages of the copies as metrics.
+func (ct *Controller) exportCopies() {
+	for kind := range ct.informers {
+		if age, hops, ok := ct.mirror.Age(kind); ok {
+			ct.Server.op.Metrics.setCopyAge(kind, age, hops)
+		}
+	}
+}
+
 // sinceStoreResponse returns the time since the store's last response about the configuration.
 func (ct *Controller) sinceStoreResponse() time.Duration {
 	return time.Duration(int64(ct.Lease.Now()) - ct.lastStoreResponse.Load())
