--- a/io/objects/relay_test.go
+++ b/io/objects/relay_test.go
@@ -1,7 +1,10 @@
 package objects_test
 
 import (
+	"encoding/json"
+	"fmt"
 	"log/slog"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -18,7 +21,9 @@
 	mr := objects.NewMirror(bootClock, limit)
 	mr.Apply("targets", objects.Snapshot{Revision: 5, FromList: true, KnownAt: bootClock()})
 	change := objects.Change{Object: objects.Object{Name: "a", Revision: rev}}
-	mr.Apply("targets", objects.Snapshot{Revision: rev, Changes: []objects.Change{change}, KnownAt: bootClock()})
+	mr.Apply("targets", objects.Snapshot{
+		Revision: rev, Objects: map[string]objects.Object{"a": change.Object}, Changes: []objects.Change{change}, KnownAt: bootClock(),
+	})
 	rt := mux.NewRouter()
 	rt.Handle(objects.MirrorPath, mr.Handler())
 	sv := httptest.NewServer(rt)
@@ -59,3 +64,27 @@
 		}
 	}
 }
+
+// A VM of an earlier version must understand the responses of this one: it knows the fields below, and ignores others.
+func TestResponseForEarlierVersion(t *testing.T) {
+	address := serveMirror(t, unlimited, 10)
+	for query, want := range map[string]string{
+		"":                     `[{"Name":"a","Revision":10,"Spec":null}] 10 true`,
+		"?after=5&wait_ms=100": `[{"Object":{"Name":"a","Revision":10,"Spec":null},"Removed":false}] 10 true`,
+	} {
+		resp, err := http.Get("http://" + address + "/v1/objects/targets" + query)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var out struct {
+			Objects, Changes json.RawMessage
+			Revision         int64
+			Relayed          bool
+		}
+		err = json.NewDecoder(resp.Body).Decode(&out)
+		_ = resp.Body.Close()
+		if got := fmt.Sprintf("%s%s %d %t", out.Objects, out.Changes, out.Revision, out.Relayed); err != nil || got != want {
+			t.Errorf("query %q: got %s, %v, want %s", query, got, err, want)
+		}
+	}
+}
