Let a reader that has lost the store follow other VMs

A VM that is chosen to read the store for others read only from the store, also while it had no path to it.

A reader without a response for 1.7 s now follows other readers, with all kinds, and lists the configuration at the store once a second. When a list succeeds, it reads the store again. Meanwhile it isn't announced as a reader. Calls to the store become fewer: a probe a second instead of four informers that retry.

TestReaderWithoutStoreFollowsOthers fails on the code before (with the new constant added): "probe after the store was lost: polls true, 0 sources of the configuration, 0 of targets, want true, 0, 1".

--- a/io/gateway/control.go
+++ b/io/gateway/control.go
@@ -33,6 +33,8 @@
 	// changes of other kinds. vmsCheckAge is that of the registrations of VMs, on which no bound of the platform depends.
 	targetsCheckAge = time.Second
 	vmsCheckAge     = 4 * time.Second
+	// storeProbeInterval is the interval at which a reader that has lost the store asks it again.
+	storeProbeInterval = time.Second
 	// watchWait is how long a watch waits for changes.
 	watchWait = 10 * time.Second
 	// leaseReadAge is the age of the lease's evidence at which a VM reads the configuration from the store itself.
@@ -104,6 +106,7 @@
 	// nextSummary is the time at which aggregators exchange summaries again.
 	nextSummary time.Time
 	nextRead    time.Time // earliest time of the next direct read of the configuration
+	lost        bool      // last seen value of lostStore
 	lapses      int64     // last seen number of lapses of the lease
 
 	isReader          atomic.Bool // this VM reads the store on behalf of others
--- a/io/gateway/source.go
+++ b/io/gateway/source.go
@@ -17,6 +17,9 @@
 type informerSource struct {
 	ct   *Controller
 	kind objects.Kind
+	// Used only by the goroutine of the informer:
+	nextProbe time.Time // earliest time of the next probe of the store by a reader that has lost it
+	probing   bool      // the next request is such a probe
 }
 
 // apply passes a snapshot to the mirror and the control loop. It runs on the goroutine of the informer.
@@ -97,7 +100,15 @@
 }
 
 // followsStore reports whether this VM is a reader and has recent copies.
-func (ct *Controller) followsStore() bool { return ct.isReader.Load() && ct.servesCopies() }
+func (ct *Controller) followsStore() bool {
+	return ct.isReader.Load() && !ct.lostStore() && ct.servesCopies()
+}
+
+// lostStore reports whether this VM is a reader that has had no response of the store for a while. It then follows other VMs, so that
+// it need not refuse requests, and probes the store every storeProbeInterval.
+func (ct *Controller) lostStore() bool {
+	return ct.isReader.Load() && ct.sinceStoreResponse() >= configPollInterval+sourceGrace
+}
 
 // followsReader reports whether this VM has recent copies from a VM that reads the store.
 func (ct *Controller) followsReader() bool {
@@ -109,8 +120,14 @@
 func (sr *informerSource) sourceAddresses() []string {
 	ct := sr.ct
 	all := ct.sources.Load()
-	evidence := sr.kind == ct.Adapter.Kinds().Config && ct.wantRead.Load()
-	if ct.isReader.Load() || evidence || all == nil {
+	direct := ct.isReader.Load()
+	switch config := sr.kind == ct.Adapter.Kinds().Config; {
+	case ct.lostStore():
+		direct = config && sr.probing
+	case config && ct.wantRead.Load():
+		direct = true
+	}
+	if direct || all == nil {
 		return nil
 	}
 	return *all
@@ -131,12 +148,28 @@
 }
 
 // pollInterval makes readers, and VMs whose lease is old, list the configuration periodically. Each list response proves that
-// the configuration is the newest one.
+// the configuration is the newest one. A reader that has lost the store lists it only to probe the store, if it can follow other VMs.
 func (sr *informerSource) pollInterval() (time.Duration, bool) {
-	if sr.kind != sr.ct.Adapter.Kinds().Config || !sr.ct.isReader.Load() && !sr.ct.wantRead.Load() {
+	ct := sr.ct
+	switch {
+	case sr.kind != ct.Adapter.Kinds().Config:
 		return 0, false
+	case ct.lostStore():
+		sr.probing = sr.probeDue(time.Now())
+		return configPollInterval, sr.probing
+	default:
+		return configPollInterval, ct.isReader.Load() || ct.wantRead.Load()
 	}
-	return configPollInterval, true
+}
+
+// probeDue reports whether a reader that has lost the store asks it now.
+func (sr *informerSource) probeDue(now time.Time) bool {
+	others := sr.ct.sources.Load()
+	if others != nil && len(*others) > 0 && now.Before(sr.nextProbe) {
+		return false
+	}
+	sr.nextProbe = now.Add(storeProbeInterval)
+	return true
 }
 
 // seedsOf returns the addresses of the VMs to ask for lists after the start. A VM that is a seed itself asks the store.
@@ -147,9 +180,13 @@
 	return gs.Seeds
 }
 
-// catchUp restarts watches that lack changes seen by other VMs, at another VM if there is one, and reads the configuration from the store if the lease is
-// old.
+// catchUp restarts watches that lack changes seen by other VMs, at another VM if there is one, and all watches when a reader loses the
+// store or regains it. It reads the configuration from the store if the lease is old.
 func (ct *Controller) catchUp(now time.Time) {
+	if lost := ct.lostStore(); lost != ct.lost {
+		ct.lost = lost
+		ct.interruptAll()
+	}
 	for kind, pg := range ct.progress {
 		if !pg.stalled(now) {
 			continue
@@ -226,6 +263,11 @@
 	if before == nil && len(chosen) == 0 || before != nil && slices.Equal((*before)[:min(1, len(*before))], chosen[:min(1, len(chosen))]) {
 		return
 	}
+	ct.interruptAll()
+}
+
+// interruptAll ends the current watches, so that the next ones begin at another VM or at the store.
+func (ct *Controller) interruptAll() {
 	for _, in := range ct.informers {
 		in.Interrupt()
 	}
--- a/io/gateway/source_test.go
+++ b/io/gateway/source_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"testing"
+	"testing/synctest"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
 	"damasklatch/core/id"
+	"damasklatch/core/lease"
 )
 
 // A reader with a slow link delays all changes that it relays. Readers in a single region can be lost in the same outage.
@@ -56,3 +59,45 @@
 		})
 	})
 }
+
+// kindsOnly is an Adapter of which only the kinds are used.
+type kindsOnly struct{ Adapter }
+
+func (kindsOnly) Kinds() Kinds {
+	return Kinds{Config: "config", Targets: "targets", Evacuations: "evacuations", VMs: "vms"}
+}
+
+// A reader that has lost the store must follow other VMs, as the VMs that are no readers do. Otherwise it misses targets that leave,
+// and refuses requests under keys when its lease ends, for the whole outage.
+func TestReaderWithoutStoreFollowsOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clock := func() lease.Instant { return lease.Instant(time.Now().UnixNano()) }
+		ct := &Controller{Components: Components{Adapter: kindsOnly{}, Lease: lease.New(clock, 4*time.Second)}}
+		ct.isReader.Store(true)
+		ct.sources.Store(&[]string{"other"})
+		config, targets := &informerSource{ct: ct, kind: "config"}, &informerSource{ct: ct, kind: "targets"}
+		state := func() (polls bool, configSources, targetSources int) {
+			_, polls = config.pollInterval()
+			return polls, len(config.sourceAddresses()), len(targets.sourceAddresses())
+		}
+		check := func(what string, wantPolls bool, wantConfig, wantTargets int) {
+			t.Helper()
+			if polls, cs, ts := state(); polls != wantPolls || cs != wantConfig || ts != wantTargets {
+				t.Errorf("%s: polls %t, %d sources of the configuration, %d of targets, want %t, %d, %d", what, polls, cs, ts,
+					wantPolls, wantConfig, wantTargets)
+			}
+		}
+		ct.lastStoreResponse.Store(int64(clock()))
+		check("with the store", true, 0, 0)
+		time.Sleep(configPollInterval + sourceGrace)
+		ct.wantRead.Store(true) // the lease becomes old
+		check("probe after the store was lost", true, 0, 1)
+		check("between probes", false, 1, 1)
+		time.Sleep(storeProbeInterval)
+		check("next probe", true, 0, 1)
+		ct.sources.Store(&[]string{})
+		check("without other readers", true, 0, 0)
+		ct.lastStoreResponse.Store(int64(clock()))
+		check("after the store was regained", true, 0, 0)
+	})
+}
