Let a VM with an old lease follow other VMs while the store is silent

A VM that is no reader and whose lease is old read the configuration from the store only. Without a path to the store it never got a newer version from its source, and without that version the reports of others could not renew its lease: it refused requests under keys until the store was back or it became a reader.

The rule for a reader that has lost the store now holds for such a VM, too: it probes the store once a second, and follows its source between the probes.

TestReaderWithoutStoreFollowsOthers fails on the code before: "old lease, between probes: polls true, 0 sources of the configuration, 1 of targets, want false, 1, 1".

--- a/io/gateway/control.go
+++ b/io/gateway/control.go
@@ -33,7 +33,7 @@
 	// changes of other kinds. vmsCheckAge is that of the registrations of VMs, on which no bound of the platform depends.
 	targetsCheckAge = time.Second
 	vmsCheckAge     = 4 * time.Second
-	// storeProbeInterval is the interval at which a reader that has lost the store asks it again.
+	// storeProbeInterval is the interval at which a VM asks a silent store again.
 	storeProbeInterval = time.Second
 	// watchWait is how long a watch waits for changes.
 	watchWait = 10 * time.Second
--- a/io/gateway/source.go
+++ b/io/gateway/source.go
@@ -18,7 +18,7 @@
 	ct   *Controller
 	kind objects.Kind
 	// Used only by the goroutine of the informer:
-	nextProbe time.Time // earliest time of the next probe of the store by a reader that has lost it
+	nextProbe time.Time // earliest time of the next probe of a silent store
 	probing   bool      // the next request is such a probe
 }
 
@@ -104,28 +104,33 @@
 	return ct.isReader.Load() && !ct.lostStore() && ct.servesCopies()
 }
 
-// lostStore reports whether this VM is a reader that has had no response of the store for a while. It then follows other VMs, so that
-// it need not refuse requests, and probes the store every storeProbeInterval.
-func (ct *Controller) lostStore() bool {
-	return ct.isReader.Load() && ct.sinceStoreResponse() >= configPollInterval+sourceGrace
+// storeSilent reports whether this VM has had no response of the store for a while. A VM that reads the store itself then follows
+// other VMs, so that it need not refuse requests, and probes the store every storeProbeInterval.
+func (ct *Controller) storeSilent() bool {
+	return ct.sinceStoreResponse() >= configPollInterval+sourceGrace
 }
 
+// lostStore reports whether this VM is a reader without responses of the store.
+func (ct *Controller) lostStore() bool { return ct.isReader.Load() && ct.storeSilent() }
+
 // followsReader reports whether this VM has recent copies from a VM that reads the store.
 func (ct *Controller) followsReader() bool {
 	return !ct.isReader.Load() && ct.sourceIsReader.Load() && ct.servesCopies()
 }
 
-// sourceAddresses returns the addresses of the VMs to read from, or none to read the store. If the lease is old, the configuration is
-// read from the store, because only the store's responses renew the lease.
-func (sr *informerSource) sourceAddresses() []string {
+// readsStore reports whether this VM reads the kind from the store itself. If the lease is old, it reads the configuration there,
+// because only the store's responses renew the lease without other VMs.
+func (sr *informerSource) readsStore() bool {
 	ct := sr.ct
-	all := ct.sources.Load()
-	direct := ct.isReader.Load()
-	switch config := sr.kind == ct.Adapter.Kinds().Config; {
-	case ct.lostStore():
-		direct = config && sr.probing
-	case config && ct.wantRead.Load():
-		direct = true
+	return ct.isReader.Load() || sr.kind == ct.Adapter.Kinds().Config && ct.wantRead.Load()
+}
+
+// sourceAddresses returns the addresses of the VMs to read from, or none to read the store.
+func (sr *informerSource) sourceAddresses() []string {
+	all := sr.ct.sources.Load()
+	direct := sr.readsStore()
+	if direct && sr.ct.storeSilent() {
+		direct = sr.probing
 	}
 	if direct || all == nil {
 		return nil
@@ -148,21 +153,23 @@
 }
 
 // pollInterval makes readers, and VMs whose lease is old, list the configuration periodically. Each list response proves that
-// the configuration is the newest one. A reader that has lost the store lists it only to probe the store, if it can follow other VMs.
+// the configuration is the newest one. While the store is silent, they list it only to probe the store, if they can follow other VMs: a
+// VM that has no newer configuration can't renew its lease by the reports of others.
 func (sr *informerSource) pollInterval() (time.Duration, bool) {
 	ct := sr.ct
+	sr.probing = false
 	switch {
-	case sr.kind != ct.Adapter.Kinds().Config:
+	case sr.kind != ct.Adapter.Kinds().Config || !sr.readsStore():
 		return 0, false
-	case ct.lostStore():
+	case ct.storeSilent():
 		sr.probing = sr.probeDue(time.Now())
 		return configPollInterval, sr.probing
 	default:
-		return configPollInterval, ct.isReader.Load() || ct.wantRead.Load()
+		return configPollInterval, true
 	}
 }
 
-// probeDue reports whether a reader that has lost the store asks it now.
+// probeDue reports whether the store is asked now although it was silent.
 func (sr *informerSource) probeDue(now time.Time) bool {
 	others := sr.ct.sources.Load()
 	if others != nil && len(*others) > 0 && now.Before(sr.nextProbe) {
--- a/io/gateway/source_test.go
+++ b/io/gateway/source_test.go
@@ -99,5 +99,15 @@
 		check("without other readers", true, 0, 0)
 		ct.lastStoreResponse.Store(int64(clock()))
 		check("after the store was regained", true, 0, 0)
+
+		// A VM that is no reader and whose lease is old must also get newer configurations, or it can't renew its lease.
+		ct.isReader.Store(false)
+		ct.sources.Store(&[]string{"other"})
+		check("old lease, with the store", true, 0, 1)
+		time.Sleep(configPollInterval + sourceGrace)
+		check("old lease, probe of a silent store", true, 0, 1)
+		check("old lease, between probes", false, 1, 1)
+		ct.wantRead.Store(false)
+		check("renewed lease", false, 1, 1)
 	})
 }
