--- a/io/gateway/control.go
+++ b/io/gateway/control.go
@@ -27,6 +27,14 @@
 	configPollInterval = 800 * time.Millisecond
 	// sourceGrace is the additional time without a response of the store during which a VM still serves its mirror to others.
 	sourceGrace = 900 * time.Millisecond
+	// relayGrace is the same for responses of another VM.
+	relayGrace = 500 * time.Millisecond
+	// targetsCheckAge is the age at which a reader asks the store about its copies of targets and evacuations while the store has
+	// changes of other kinds. vmsCheckAge is that of the registrations of VMs, on which no bound of the platform depends.
+	targetsCheckAge = time.Second
+	vmsCheckAge     = 4 * time.Second
+	// storeProbeInterval is the interval at which a VM asks a silent store again.
+	storeProbeInterval = time.Second
 	// watchWait is how long a watch waits for changes.
 	watchWait = 10 * time.Second
 	// leaseReadAge is the age of the lease's evidence at which a VM reads the configuration from the store itself.
@@ -85,6 +93,7 @@
 	started           time.Time
 
 	informers     map[objects.Kind]*objects.Informer
+	relays        map[objects.Kind]*objects.RelayReader
 	latestChanges map[objects.Kind]objects.Revision // revision of the newest change seen
 	progress      map[objects.Kind]*watchProgress
 	version       id.Generation // of the configuration in force; 0 if there is none
@@ -97,19 +106,19 @@
 	// nextSummary is the time at which aggregators exchange summaries again.
 	nextSummary time.Time
 	nextRead    time.Time // earliest time of the next direct read of the configuration
+	lost        bool      // last seen value of lostStore
 	lapses      int64     // last seen number of lapses of the lease
 
-	isReader            atomic.Bool // this VM reads the store on behalf of others
-	wantRead            atomic.Bool // the lease is old, so the configuration is read from the store
-	ready               atomic.Bool
-	leaving             atomic.Bool
-	lookup              atomic.Pointer[directory]
-	peers               []roster.Peer
-	mirror              *objects.Mirror
-	lastStoreResponse   atomic.Int64           // time (lease.Instant) of the store's last response about the configuration
-	lastRelayedResponse atomic.Int64           // the same for responses of other VMs
-	source              atomic.Pointer[string] // address of the VM to read from; nil to read the store
-	// sourceIsReader is set if the VM at source reads the store itself.
+	isReader          atomic.Bool // this VM reads the store on behalf of others
+	wantRead          atomic.Bool // the lease is old, so the configuration is read from the store
+	ready             atomic.Bool
+	leaving           atomic.Bool
+	lookup            atomic.Pointer[directory]
+	peers             []roster.Peer
+	mirror            *objects.Mirror
+	lastStoreResponse atomic.Int64             // time (lease.Instant) of the store's last response about the configuration
+	sources           atomic.Pointer[[]string] // addresses of the VMs to read from, in order of preference
+	// sourceIsReader is set if the first VM of sources reads the store itself.
 	sourceIsReader atomic.Bool
 	shortWatch     map[objects.Kind]*atomic.Bool // set if the next watch must return at once
 }
@@ -142,20 +151,22 @@
 	now := time.Now()
 	ct := &Controller{
 		Components: pt, self: self, incarnation: self.Incarnation, send: send, renewRegistration: renewRegistration, started: now, lastTick: now,
-		inbox: make(chan event, inboxSize), informers: map[objects.Kind]*objects.Informer{},
+		inbox: make(chan event, inboxSize), informers: map[objects.Kind]*objects.Informer{}, relays: map[objects.Kind]*objects.RelayReader{},
 		latestChanges: map[objects.Kind]objects.Revision{}, progress: map[objects.Kind]*watchProgress{},
 		targets: map[string]placement.Target{}, retained: map[string]time.Time{},
 		loaded: map[objects.Kind]bool{}, shortWatch: map[objects.Kind]*atomic.Bool{},
 	}
-	ct.mirror = objects.NewMirror(ct.canServeMirror)
+	ct.mirror = objects.NewMirror(pt.Lease.Now, ct.copyLimit)
 	ks := pt.Adapter.Kinds()
 	for _, kind := range []objects.Kind{ks.Config, ks.Targets, ks.Evacuations, ks.VMs} {
 		ct.shortWatch[kind], ct.progress[kind] = new(atomic.Bool), &watchProgress{}
 		src := &informerSource{ct: ct, kind: kind}
-		from := objects.NewRelayReader(pt.Store, src.sourceAddress, seedsOf(pt.Settings), pt.Log)
+		from := objects.NewRelayReader(pt.Store, src.sourceAddresses, seedsOf(pt.Settings), pt.Log)
+		ct.relays[kind] = from
 		from.WaitForSourceUntil(now.Add(sourceWaitTime))
 		ct.informers[kind] = objects.New(objects.Options{
-			Store: from, Kind: kind, Clock: pt.Lease.Now, Log: pt.Log, WatchWait: src.watchWait, PollInterval: src.pollInterval, ExpectsInterrupt: ct.expectsInterrupt, Apply: src.apply,
+			Store: from, Kind: kind, Clock: pt.Lease.Now, Log: pt.Log, WatchWait: src.watchWait, PollInterval: src.pollInterval, ExpectsInterrupt: ct.expectsInterrupt,
+			SourceBehind: from.AvoidSource, Apply: src.apply,
 		})
 	}
 	return ct
@@ -226,5 +237,6 @@
 	ct.updateCoordinated(now)
 	ct.updatePlan(now)
 	ct.updateReady(now, members)
+	ct.exportCopies()
 	ct.sendReports(now, members)
 }
--- a/io/gateway/source.go
+++ b/io/gateway/source.go
@@ -17,19 +17,81 @@
 type informerSource struct {
 	ct   *Controller
 	kind objects.Kind
+	// Used only by the goroutine of the informer:
+	nextProbe time.Time // earliest time of the next probe of a silent store
+	probing   bool      // the next request is such a probe
 }
 
 // apply passes a snapshot to the mirror and the control loop. It runs on the goroutine of the informer.
 func (sr *informerSource) apply(sn objects.Snapshot, changed bool) {
-	sr.ct.mirror.Apply(sr.kind, sn)
-	if sr.kind == sr.ct.Adapter.Kinds().Config {
-		last := &sr.ct.lastStoreResponse
-		if sn.Relayed {
-			last = &sr.ct.lastRelayedResponse
+	ct := sr.ct
+	ct.mirror.Apply(sr.kind, sn)
+	if sr.kind == ct.Adapter.Kinds().Config && !sn.Relayed {
+		ct.lastStoreResponse.Store(int64(ct.Lease.Now()))
+		if sn.FromList {
+			ct.confirmCopies(sn)
+		}
+	}
+	ct.inbox <- snapshotEvent{sr.kind, sn, changed}
+}
+
+// confirmCopies confirms the copies of the other kinds by a list of the configuration: it has the revision of the whole store, so
+// a copy that is known up to this revision is complete. A reader asks the store at once about a copy that is not, if its age has
+// reached copyCheckAge. Otherwise a watch that gets no response, or the pause after a failure, could keep it for longer.
+func (ct *Controller) confirmCopies(list objects.Snapshot) {
+	for kind, in := range ct.informers {
+		if kind == ct.Adapter.Kinds().Config || ct.mirror.Confirm(kind, list.Revision, list.RequestedAt) {
+			continue
+		}
+		if age, _, ok := ct.mirror.Age(kind); ok && age > ct.copyCheckAge(kind) && ct.isReader.Load() {
+			ct.shortWatch[kind].Store(true)
+			in.Interrupt()
+		}
+	}
+}
+
+// copyCheckAge returns the age at which a reader asks the store about its copy of a kind.
+func (ct *Controller) copyCheckAge(kind objects.Kind) time.Duration {
+	if kind == ct.Adapter.Kinds().VMs {
+		return vmsCheckAge
+	}
+	return targetsCheckAge
+}
+
+// copyLimit returns the age up to which this VM serves its copy of a kind to others, see objects.CopyLimit. Copies that have passed
+// through more than one other VM are not served, which keeps the chains short.
+func (ct *Controller) copyLimit(kind objects.Kind, hops int) time.Duration {
+	limit := configPollInterval + sourceGrace
+	if kind != ct.Adapter.Kinds().Config {
+		limit += ct.copyCheckAge(kind)
+	}
+	switch hops {
+	case 0:
+		return limit
+	case 1:
+		return limit + objects.MaxRelayWait + relayGrace
+	default:
+		return 0
+	}
+}
+
+// servesCopies reports whether this VM serves copies of all kinds.
+func (ct *Controller) servesCopies() bool {
+	for kind := range ct.informers {
+		if !ct.mirror.Serves(kind) {
+			return false
+		}
+	}
+	return true
+}
+
+// exportCopies exports the ages of the copies as metrics.
+func (ct *Controller) exportCopies() {
+	for kind := range ct.informers {
+		if age, hops, ok := ct.mirror.Age(kind); ok {
+			ct.Server.op.Metrics.setCopyAge(kind, age, hops)
 		}
-		last.Store(int64(sr.ct.Lease.Now()))
 	}
-	sr.ct.inbox <- snapshotEvent{sr.kind, sn, changed}
 }
 
 // sinceStoreResponse returns the time since the store's last response about the configuration.
@@ -37,32 +99,43 @@
 	return time.Duration(int64(ct.Lease.Now()) - ct.lastStoreResponse.Load())
 }
 
-// followsStore reports whether this VM is a reader and gets responses from the store.
+// followsStore reports whether this VM is a reader and has recent copies.
 func (ct *Controller) followsStore() bool {
-	return ct.isReader.Load() && ct.sinceStoreResponse() < configPollInterval+sourceGrace
+	return ct.isReader.Load() && !ct.lostStore() && ct.servesCopies()
 }
 
-// followsReader reports whether this VM gets responses from a VM that reads the store.
-func (ct *Controller) followsReader() bool {
-	since := time.Duration(int64(ct.Lease.Now()) - ct.lastRelayedResponse.Load())
-	return !ct.isReader.Load() && ct.sourceIsReader.Load() && since < objects.MaxRelayWait+sourceGrace
+// storeSilent reports whether this VM has had no response of the store for a while. A VM that reads the store itself then follows
+// other VMs, so that it need not refuse requests, and probes the store every storeProbeInterval.
+func (ct *Controller) storeSilent() bool {
+	return ct.sinceStoreResponse() >= configPollInterval+sourceGrace
 }
 
-// canServeMirror reports whether the mirror is recent enough to be read by other VMs.
-func (ct *Controller) canServeMirror() bool {
-	return ct.sinceStoreResponse() < configPollInterval+sourceGrace || ct.followsReader()
+// lostStore reports whether this VM is a reader without responses of the store.
+func (ct *Controller) lostStore() bool { return ct.isReader.Load() && ct.storeSilent() }
+
+// followsReader reports whether this VM has recent copies from a VM that reads the store.
+func (ct *Controller) followsReader() bool {
+	return !ct.isReader.Load() && ct.sourceIsReader.Load() && ct.servesCopies()
 }
 
-// sourceAddress returns the address of the VM to read from, or false to read the store. If the lease is old, the
-// configuration is read from the store, because only the store's responses renew the lease.
-func (sr *informerSource) sourceAddress() (string, bool) {
+// readsStore reports whether this VM reads the kind from the store itself. If the lease is old, it reads the configuration there,
+// because only the store's responses renew the lease without other VMs.
+func (sr *informerSource) readsStore() bool {
 	ct := sr.ct
-	address := ct.source.Load()
-	evidence := sr.kind == ct.Adapter.Kinds().Config && ct.wantRead.Load()
-	if ct.isReader.Load() || evidence || address == nil {
-		return "", false
+	return ct.isReader.Load() || sr.kind == ct.Adapter.Kinds().Config && ct.wantRead.Load()
+}
+
+// sourceAddresses returns the addresses of the VMs to read from, or none to read the store.
+func (sr *informerSource) sourceAddresses() []string {
+	all := sr.ct.sources.Load()
+	direct := sr.readsStore()
+	if direct && sr.ct.storeSilent() {
+		direct = sr.probing
+	}
+	if direct || all == nil {
+		return nil
 	}
-	return *address, true
+	return *all
 }
 
 // expectsInterrupt reports whether this VM may wait for other VMs to read the store. It is interrupted as soon as there is
@@ -80,12 +153,30 @@
 }
 
 // pollInterval makes readers, and VMs whose lease is old, list the configuration periodically. Each list response proves that
-// the configuration is the newest one.
+// the configuration is the newest one. While the store is silent, they list it only to probe the store, if they can follow other VMs: a
+// VM that has no newer configuration can't renew its lease by the reports of others.
 func (sr *informerSource) pollInterval() (time.Duration, bool) {
-	if sr.kind != sr.ct.Adapter.Kinds().Config || !sr.ct.isReader.Load() && !sr.ct.wantRead.Load() {
+	ct := sr.ct
+	sr.probing = false
+	switch {
+	case sr.kind != ct.Adapter.Kinds().Config || !sr.readsStore():
 		return 0, false
+	case ct.storeSilent():
+		sr.probing = sr.probeDue(time.Now())
+		return configPollInterval, sr.probing
+	default:
+		return configPollInterval, true
+	}
+}
+
+// probeDue reports whether the store is asked now although it was silent.
+func (sr *informerSource) probeDue(now time.Time) bool {
+	others := sr.ct.sources.Load()
+	if others != nil && len(*others) > 0 && now.Before(sr.nextProbe) {
+		return false
 	}
-	return configPollInterval, true
+	sr.nextProbe = now.Add(storeProbeInterval)
+	return true
 }
 
 // seedsOf returns the addresses of the VMs to ask for lists after the start. A VM that is a seed itself asks the store.
@@ -96,13 +187,18 @@
 	return gs.Seeds
 }
 
-// catchUp restarts watches that lack changes seen by other VMs, and reads the configuration from the store if the lease is
-// old.
+// catchUp restarts watches that lack changes seen by other VMs, at another VM if there is one, and all watches when a reader loses the
+// store or regains it. It reads the configuration from the store if the lease is old.
 func (ct *Controller) catchUp(now time.Time) {
+	if lost := ct.lostStore(); lost != ct.lost {
+		ct.lost = lost
+		ct.interruptAll()
+	}
 	for kind, pg := range ct.progress {
 		if !pg.stalled(now) {
 			continue
 		}
+		ct.relays[kind].AvoidSource()
 		ct.shortWatch[kind].Store(true)
 		ct.informers[kind].Interrupt()
 		ct.Log.Info("watch missed a change", "kind", string(kind))
@@ -121,7 +217,10 @@
 	}
 }
 
-// updateSource chooses the VM to read from. Aggregators read from a reader of the store, and other VMs from a VM of their
+// maxSources is the number of VMs that are chosen to read from. The others stand in for the first one if it fails.
+const maxSources = 3
+
+// updateSource chooses the VMs to read from. Aggregators read from a reader of the store, and other VMs from a VM of their
 // failure domain that is a reader or reads from one. This way each reader serves only a few VMs.
 func (ct *Controller) updateSource(now time.Time, members []roster.Member) {
 	aggregator := ct.Roster.IsAggregator(now)
@@ -142,23 +241,40 @@
 			add(2, mb)
 		}
 	}
-	key := rendezvous.Hash(string(ct.self.VM))
+	chosen := chooseSources(rendezvous.Hash(string(ct.self.VM)), ranks[:])
+	ct.switchSources(chosen, len(chosen) > 0 && firstHand[chosen[0]])
+}
+
+// chooseSources returns up to maxSources of the addresses, those of earlier ranks first. Different keys choose differently within a
+// rank.
+func chooseSources(key uint64, ranks [][]string) []string {
+	var chosen []string
 	for _, rank := range ranks {
-		if address, ok := rendezvous.Pick(key, rank); ok {
-			ct.switchSource(&address, firstHand[address])
-			return
+		left := slices.Clone(rank)
+		for len(chosen) < maxSources {
+			address, ok := rendezvous.Pick(key, left)
+			if !ok {
+				break
+			}
+			chosen = append(chosen, address)
+			left = slices.DeleteFunc(left, func(other string) bool { return other == address })
 		}
 	}
-	ct.switchSource(nil, false)
+	return chosen
 }
 
-// switchSource sets the VM to read from. If it changes, the current watches are interrupted.
-func (ct *Controller) switchSource(address *string, firstHand bool) {
+// switchSources sets the VMs to read from. If the first one changes, the current watches are interrupted.
+func (ct *Controller) switchSources(chosen []string, firstHand bool) {
 	ct.sourceIsReader.Store(firstHand)
-	before := ct.source.Swap(address)
-	if before == nil && address == nil || before != nil && address != nil && *before == *address {
+	before := ct.sources.Swap(&chosen)
+	if before == nil && len(chosen) == 0 || before != nil && slices.Equal((*before)[:min(1, len(*before))], chosen[:min(1, len(chosen))]) {
 		return
 	}
+	ct.interruptAll()
+}
+
+// interruptAll ends the current watches, so that the next ones begin at another VM or at the store.
+func (ct *Controller) interruptAll() {
 	for _, in := range ct.informers {
 		in.Interrupt()
 	}
