Don't take a caller for one that pipelines when it has got its response

A caller that sends its next request as soon as it has got the response met a server that was still waiting for the end of the connection. The waiting request counted as a sign of pipelining, for the rest of the connection. Each further request then cost a peek before the read of its header, and five more allocations.

Bytes that arrive after the response has begun are no sign any more. If such a caller does pipeline, the first requests that wait together are read together, as the first ones of a connection are, and the others one at a time.

TestNextRequestIsNotPipelined failed before, three times of three ("the caller counts as one that pipelines"). TestReadsOnlyOneOfWaitingRequests holds as before. go test -race of the package passes.

--- a/io/inbound/conn.go
+++ b/io/inbound/conn.go
@@ -90,12 +90,14 @@
 	ln    *Listener
 	sock  socket
 	wrote atomic.Bool
+	// responding is set once a byte of the response to the current request was written.
+	responding atomic.Bool
 
 	mu          sync.Mutex
 	changed     sync.Cond // closed or deadline was set
 	fr          framer
 	ahead       []byte    // bytes of further requests that were read together with a request
-	pipelines   bool      // a further request has arrived before the end of a request
+	pipelines   bool      // a further request has arrived before the response to an earlier one
 	failure     error     // returned by all further reads; nil while the connection works
 	deadline    time.Time // of reads
 	reading     readMode
@@ -130,6 +132,7 @@
 	defer cn.mu.Unlock()
 	if cn.fr.state == atEnd {
 		cn.fr = framer{}
+		cn.responding.Store(false)
 	}
 }
 
@@ -231,18 +234,18 @@
 func (cn *conn) wait(mode readMode, buf []byte) (num int, err error) {
 	cn.reading = mode
 	cn.mu.Unlock()
-	unread := false
+	early := false
 	switch mode {
 	case peek:
 		num, err = cn.sock.peek(buf)
 	case watch:
-		unread, err = cn.sock.awaitEnd()
+		early, err = cn.sock.awaitEnd(&cn.responding)
 	default:
 		num, err = cn.Conn.Read(buf)
 	}
 	cn.mu.Lock()
 	cn.reading = noRead
-	cn.pipelines = cn.pipelines || unread
+	cn.pipelines = cn.pipelines || early
 	expired := errors.Is(err, os.ErrDeadlineExceeded)
 	if cn.interrupted {
 		cn.interrupted = false
@@ -306,6 +309,7 @@
 // Write implements net.Conn.
 func (cn *conn) Write(buf []byte) (int, error) {
 	cn.wrote.Store(true)
+	cn.responding.Store(true)
 	return cn.Conn.Write(buf)
 }
 
--- a/io/inbound/conn_test.go
+++ b/io/inbound/conn_test.go
@@ -230,3 +230,41 @@
 		})
 	}
 }
+
+// onlyConn returns the connection of a listener that has a single one.
+func onlyConn(tb testing.TB, ln *Listener) *conn {
+	tb.Helper()
+	conns := ln.open()
+	if len(conns) != 1 {
+		tb.Fatalf("the listener has %d connections, want 1", len(conns))
+	}
+	return conns[0]
+}
+
+// Guards against taking a caller that sends its next request as soon as it has got a response for one that pipelines. Each of its
+// requests would cost two more system calls.
+func TestNextRequestIsNotPipelined(t *testing.T) {
+	sent := make(chan struct{}, 1)
+	ds := startDrainServer(t, nil)
+	ds.serve = func(rw http.ResponseWriter, _ *http.Request) {
+		rw.Header().Set("Content-Length", "2")
+		fmt.Fprint(rw, "/a")
+		rw.(http.Flusher).Flush()
+		<-sent
+		time.Sleep(20 * time.Millisecond) // the server has noticed the next request
+	}
+	cn := ds.dial(t)
+	rd := bufio.NewReader(cn)
+	fmt.Fprint(cn, plainGet)
+	wantResponse(t, rd, false)
+	fmt.Fprint(cn, plainGet)
+	sent <- struct{}{}
+	wantResponse(t, rd, false)
+	sent <- struct{}{}
+	oc := onlyConn(t, ds.ln)
+	oc.mu.Lock()
+	defer oc.mu.Unlock()
+	if oc.pipelines {
+		t.Error("the caller counts as one that pipelines")
+	}
+}
--- a/io/inbound/socket.go
+++ b/io/inbound/socket.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"sync/atomic"
 	"syscall"
 
 	"github.com/pkg/errors"
@@ -51,8 +52,8 @@
 }
 
 // awaitEnd waits until the peer has closed its sending side or the connection has failed, and then returns io.EOF. It reads
-// nothing, and reports whether there were bytes to read. An expired read deadline ends it with an error.
-func (sk socket) awaitEnd() (unread bool, err error) {
+// nothing, and reports whether bytes have arrived before responding was set. An expired read deadline ends it with an error.
+func (sk socket) awaitEnd(responding *atomic.Bool) (early bool, err error) {
 	if sk.raw == nil {
 		return false, errUnsupported
 	}
@@ -63,16 +64,16 @@
 			return err
 		})
 		events := fds[0].Revents
-		unread = unread || events&unix.POLLIN != 0
+		early = early || events&unix.POLLIN != 0 && !responding.Load()
 		return err != nil || events&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
 	})
 	switch {
 	case waitErr != nil:
-		return unread, waitErr
+		return early, waitErr
 	case err != nil:
-		return unread, errUnsupported
+		return early, errUnsupported
 	}
-	return unread, io.EOF
+	return early, io.EOF
 }
 
 // ignoreEINTR repeats a system call until no signal interrupts it. The Go runtime sends signals to its own threads.
--- a/io/inbound/socket_test.go
+++ b/io/inbound/socket_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -46,7 +47,7 @@
 		if err := cn.SetReadDeadline(time.Now().Add(20 * time.Microsecond)); err != nil {
 			t.Fatal(err)
 		}
-		if _, err := sk.awaitEnd(); errors.Is(err, errUnsupported) {
+		if _, err := sk.awaitEnd(new(atomic.Bool)); errors.Is(err, errUnsupported) {
 			t.Fatal("the wait for the end of a connection ended although nothing happened")
 		}
 	}
