Test: target.Pool doesn't send a request again for the error of the next one on its connection

The test holds net/http at the moment at which it has given the connection of a response without a body to a request that must not use it, because it counts as idle for too long.

--- a/io/target/pool_test.go
+++ b/io/target/pool_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/http/httptrace"
 	"net/url"
 	"strings"
 	"sync/atomic"
@@ -60,6 +61,10 @@
 }
 
 func (pl *Pool) send(method string, idempotent bool, body io.Reader) (string, *Error) {
+	return pl.sendWithin(context.Background(), method, idempotent, body)
+}
+
+func (pl *Pool) sendWithin(ctx context.Context, method string, idempotent bool, body io.Reader) (string, *Error) {
 	rq := &Request{
 		ID: "1", Pool: "desk", Idempotent: idempotent, Method: method, URL: &url.URL{Path: "/work"},
 		Header: http.Header{"Idempotency-Key": {"7"}}, Body: body,
@@ -67,7 +72,7 @@
 	if body != nil {
 		rq.ContentLength = -1
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	ctx, cancel := context.WithTimeout(ctx, 10*time.Second)
 	defer cancel()
 	res, err := pl.Do(ctx, rq)
 	if err != nil {
@@ -88,26 +93,37 @@
 	fmt.Fprint(w, "ok")
 }
 
-// Guards against sending a non-idempotent request on a connection that was idle for a second or more. Nothing may be
-// written to such a connection.
-func TestStaleConnections(t *testing.T) {
-	ct := newCountingTarget(t, respondOK)
-	pl := newTestPool(t, ct.Listener.Addr().String())
-	var nc atomic.Pointer[conn]
-	be := pl.backends["t0"]
-	dial := be.freshTransport.DialContext
-	be.freshTransport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+// recordConn returns the latest connection for requests that are not idempotent, once there is one.
+func (pl *Pool) recordConn() *atomic.Pointer[conn] {
+	nc := new(atomic.Pointer[conn])
+	tr := pl.backends["t0"].freshTransport
+	dial := tr.DialContext
+	tr.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		got, err := dial(ctx, network, address)
 		if err == nil {
 			nc.Store(got.(*conn))
 		}
 		return got, err
 	}
+	return nc
+}
+
+// setIdle makes the connection seem to have been idle for a time.
+func (cn *conn) setIdle(idle time.Duration) {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	cn.lastRead = time.Now().Add(-idle)
+}
+
+// Guards against sending a non-idempotent request on a connection that was idle for a second or more. Nothing may be
+// written to such a connection.
+func TestStaleConnections(t *testing.T) {
+	ct := newCountingTarget(t, respondOK)
+	pl := newTestPool(t, ct.Listener.Addr().String())
+	nc := pl.recordConn()
 	for nr, idle := range []time.Duration{0, maxFreshIdle / 2, maxFreshIdle} {
 		if cn := nc.Load(); cn != nil {
-			cn.mu.Lock()
-			cn.lastRead = time.Now().Add(-idle)
-			cn.mu.Unlock()
+			cn.setIdle(idle)
 		}
 		if got, err := pl.send("POST", false, strings.NewReader("x")); err != nil || got != "ok" {
 			t.Fatalf("request %d: %q, %v", nr, got, err)
@@ -118,6 +134,36 @@
 	}
 }
 
+// Guards against a request that its target runs twice: the response has arrived, net/http has already given the connection to a request
+// that it must not carry, and the failed write of that one ends both.
+func TestRequestIsNotSentAgainForNextOne(t *testing.T) {
+	ct := newCountingTarget(t, func(http.ResponseWriter, *http.Request) {})
+	pl := newTestPool(t, ct.Listener.Addr().String())
+	nc := pl.recordConn()
+	ended := make(chan struct{})
+	next := make(chan *Error, 1)
+	var given atomic.Bool
+	ctx := httptrace.WithClientTrace(context.Background(), &httptrace.ClientTrace{PutIdleConn: func(error) {
+		if !given.Swap(true) {
+			nc.Load().setIdle(maxFreshIdle)
+			_, err := pl.send("POST", false, nil)
+			next <- err
+			<-ended
+		}
+	}})
+	_, err := pl.sendWithin(ctx, "POST", false, nil)
+	close(ended)
+	if err == nil || !err.MayHaveRun {
+		t.Errorf("got error %v, want one of a request that may have run", err)
+	}
+	if err := <-next; err != nil {
+		t.Errorf("the next request: %v", err)
+	}
+	if num := ct.requests.Load(); num != 2 {
+		t.Errorf("%d requests ran, want 2", num)
+	}
+}
+
 // Guards against automatic retries of net/http. It retries a GET request, or a request with an Idempotency-Key, when a
 // reused connection breaks.
 func TestNoAutomaticRetry(t *testing.T) {
