Test the bound on the delivery of a response

The bound was in the loop that waits, where only a caller that reads slowly for 10 s could show it. It is part of deliveryProgress now, like the other limits, and has a test on simulated times. Nothing else changes.

--- a/io/inbound/delivery.go
+++ b/io/inbound/delivery.go
@@ -16,17 +16,24 @@
 
 // deliveryProgress decides how long to wait before a connection is closed.
 type deliveryProgress struct {
-	last delivery
-	at   time.Time // of the last progress
+	last  delivery
+	began time.Time
+	at    time.Time // of the last progress
 }
 
 // over reports whether the connection may be closed: the peer has got everything and a close resets nothing, or the peer makes no
-// progress.
+// progress, or the delivery takes too long.
 func (dp *deliveryProgress) over(now time.Time, dv delivery) bool {
+	if dp.began.IsZero() {
+		dp.began = now
+	}
 	if dp.at.IsZero() || dv.state != dp.last.state || dv.acked != dp.last.acked {
 		dp.at = now
 	}
 	dp.last = dv
+	if now.Sub(dp.began) >= deliveryTimeout {
+		return true
+	}
 	waited := now.Sub(dp.at)
 	switch dv.state {
 	case finWait1:
@@ -48,8 +55,7 @@
 		return
 	}
 	var dp deliveryProgress
-	end := time.Now().Add(deliveryTimeout)
-	for poll := firstPoll; time.Now().Before(end); poll = min(2*poll, lastPoll) {
+	for poll := firstPoll; ; poll = min(2*poll, lastPoll) {
 		dv, err := cn.sock.delivery()
 		if err != nil || dp.over(time.Now(), dv) {
 			return
--- a/io/inbound/drain_test.go
+++ b/io/inbound/drain_test.go
@@ -348,3 +348,19 @@
 		})
 	}
 }
+
+// Guards against a connection that a caller keeps open for as long as it likes by reading its response slowly.
+func TestDeliveryIsBounded(t *testing.T) {
+	const step = stallTimeout / 2
+	var dp deliveryProgress
+	began := time.Now()
+	took := time.Duration(0)
+	for nr := uint64(1); !dp.over(began.Add(took), delivery{state: finWait1, acked: nr}); nr++ {
+		if took += step; took > deliveryTimeout {
+			t.Fatalf("the delivery goes on after %s", took)
+		}
+	}
+	if took != deliveryTimeout {
+		t.Errorf("the delivery was given up after %s, want %s", took, deliveryTimeout)
+	}
+}
