--- a/io/inbound/conn.go
+++ b/io/inbound/conn.go
@@ -88,7 +88,7 @@
 type conn struct {
 	net.Conn
 	ln    *Listener
-	sock  socket
+	sock  *socket
 	wrote atomic.Bool
 	// responding is set once a byte of the response to the current request was written.
 	responding atomic.Bool
--- a/io/inbound/socket_test.go
+++ b/io/inbound/socket_test.go
@@ -52,3 +52,26 @@
 		}
 	}
 }
+
+// Guards against allocations for the wait that each request causes, except for the error with which net/http interrupts it.
+func TestWaitAllocations(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	cn, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer cn.Close()
+	sk := newSocket(cn)
+	var responding atomic.Bool
+	num := testing.AllocsPerRun(50, func() {
+		_ = cn.SetReadDeadline(time.Now().Add(time.Millisecond)) // the wait would not end without it
+		_, _ = sk.awaitEnd(&responding)
+	})
+	if num > 1 {
+		t.Errorf("a wait makes %v allocations, want 1 at most", num)
+	}
+}
