--- a/io/daemon/cluster_test.go
+++ b/io/daemon/cluster_test.go
@@ -66,6 +66,12 @@
 var clusterDomains = []id.FailureDomain{"north-a", "central-a", "south-a"}
 
 func newCluster(t *testing.T) *cluster {
+	t.Helper()
+	return newClusterWith(t, strings.NewReplacer())
+}
+
+// newClusterWith is like newCluster, but replaces parts of the base file of the configuration.
+func newClusterWith(t *testing.T, base *strings.Replacer) *cluster {
 	t.Helper()
 	cl := &cluster{t: t, isolated: make(map[string]bool)}
 	_, sr, err := configdir.Load(filepath.Join("..", "..", "examples", "sang_den"))
@@ -73,6 +79,7 @@
 		t.Fatal(err)
 	}
 	cl.sources = sr
+	sr.Base.Content = []byte(base.Replace(string(sr.Base.Content)))
 	for nr := range sr.Overlays {
 		for kt, fd := range clusterDomains {
 			if strings.Contains(sr.Overlays[nr].Name, string(fd)) {
