Wait for look-ups and readiness checks at the end of a shutdown

A caller whose look-up, or a load balancer whose readiness check, was running when the gateway ended got no response: the servers for them were closed at once. The gateway waits for them now, for 300 ms at most and not beyond the grace period, and then closes their connections.

TestStopAwaitsLookups failed before ("/v1/resolve got status 0, want 200", the same for /v1/ready). Two runs of the tests of the shutdown (TestStop...) pass with the race detector.

--- a/io/gateway/daemon.go
+++ b/io/gateway/daemon.go
@@ -23,6 +23,7 @@
 	"damasklatch/core/placement"
 	"damasklatch/core/quota"
 	"damasklatch/core/roster"
+	"damasklatch/internal/httpstop"
 	"damasklatch/io/asynclog"
 	"damasklatch/io/inbound"
 	"damasklatch/io/metrics"
@@ -38,6 +39,9 @@
 	cutMargin  = 300 * time.Millisecond
 	// cutLogTime is the time within which requests that were cut off write their log lines.
 	cutLogTime = 100 * time.Millisecond
+	// lookupStopLimit is the time for which the shutdown waits for look-ups, readiness checks and other short requests. It covers a
+	// round trip between regions, in case that part of a request is on its way.
+	lookupStopLimit = 300 * time.Millisecond
 	// gcPercent makes garbage collections rarer than by default, at the cost of memory.
 	gcPercent = 200
 )
@@ -312,9 +316,7 @@
 	lc.Server.logCut(lc.Log)
 	rn.callers.Abort()
 	rn.cancel()
-	for _, srv := range rn.otherServers {
-		_ = srv.Close()
-	}
+	httpstop.Stop(ctx, lookupStopLimit, rn.otherServers...)
 	_ = rn.callerServer.Close()
 	rn.wg.Wait()
 	lc.Server.awaitRequests(cutLogTime)
