Wait for calls of operators and monitoring at the end of the entry daemon's shutdown

A readiness check, a scrape of the metrics or an operator's call that was running when the daemon ended got no response: the server for them was closed at once. The daemon waits for them now, for a second at most. Calls whose header has not been read whole are still cut off; net/http closes such connections in a shutdown.

--- a/io/daemon/shutdown_test.go
+++ b/io/daemon/shutdown_test.go
@@ -13,6 +13,7 @@
 
 	"damasklatch/core/config"
 	"damasklatch/core/keyring"
+	"damasklatch/io/peer/peerpb"
 )
 
 // The requests of the tests of the shutdown run longer than the daemon accepts requests after it began to shut down, which is the TTL
@@ -117,3 +118,28 @@
 }
 
 func (sd *sender) run() { _, _ = io.WriteString(sd.cn, sd.text) }
+
+// Guards against a shutdown that cuts off a call of the operator or of monitoring.
+func TestShutdownAwaitsCall(t *testing.T) {
+	cl := newShutdownCluster(t, "dlk_shutdown_test")
+	call, err := net.Dial("tcp", domainAddress(1)+":17101")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer call.Close()
+	fmt.Fprintf(call, "POST %sStatus HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{",
+		peerpb.OperatorPathPrefix, strings.Repeat("o", 32))
+	cl.cancel()
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		cn, err := net.Dial("tcp", domainAddress(1)+":17001")
+		if err != nil {
+			break // the daemon has closed the listener of callers, and stops its other server next
+		}
+		cn.Close()
+	}
+	time.Sleep(50 * time.Millisecond)
+	fmt.Fprint(call, "x")
+	if got, _ := readStatus(t, bufio.NewReader(call)); got != "400" { // the body is no JSON
+		t.Errorf("got %q, want 400", got)
+	}
+}
--- a/io/daemon/start.go
+++ b/io/daemon/start.go
@@ -14,6 +14,7 @@
 
 	"damasklatch/core/config"
 	"damasklatch/core/event"
+	"damasklatch/internal/httpstop"
 	"damasklatch/io/configsync"
 	"damasklatch/io/entry"
 	"damasklatch/io/inbound"
@@ -115,6 +116,7 @@
 	closed := rn.callerConns.Drain(ctx)
 	rn.callerConns.Abort()
 	rn.cancel()
+	httpstop.Stop(ctx, peerStopLimit, rn.peers.srv)
 	rn.peers.close()
 	lc.Sender.Wait()
 	lc.Targets.Close()
@@ -149,6 +151,8 @@
 const (
 	peerHeaderTimeout = 5 * time.Second
 	peerIdleTimeout   = 2 * time.Minute
+	// peerStopLimit is the time for which the shutdown waits for readiness checks and other short requests.
+	peerStopLimit = time.Second
 )
 
 // serveReady responds with status 200 if the daemon has a configuration, otherwise with 503 and the reason.
