Announce the close of connections in the responses of an entry VM that leaves

Once the listener of callers leaves, each connection is closed after its response. A caller of the entry daemon was not told so, and a request that it sent on the connection at this moment was lost, unlike at the gateway. Responses of targets, duplicates, refusals and look-ups have the field Connection: close now.

--- a/io/entry/forward.go
+++ b/io/entry/forward.go
@@ -134,6 +134,7 @@
 		cp.header = res.Header.Clone()
 	}
 	cp.takeBytes(headerBytes(hd))
+	announceClose(rq.w, rq.r)
 	rq.w.WriteHeader(res.Status)
 	if err := cp.copy(); err != nil {
 		rq.finish(unknown(dedup.ConnectionLost).response())
--- a/io/entry/lookup.go
+++ b/io/entry/lookup.go
@@ -13,6 +13,7 @@
 	"damasklatch/core/dedup"
 	"damasklatch/core/id"
 	"damasklatch/core/lookup"
+	"damasklatch/io/inbound"
 )
 
 // lookupResponse is the body of the response to a lookup.
@@ -48,13 +49,13 @@
 func (sv *Server) serveLookup(w http.ResponseWriter, r *http.Request) {
 	vw := sv.state.Load()
 	if !vw.Ready || vw.Lookup == nil || vw.View == nil {
-		sv.refuseLookup(w, http.StatusServiceUnavailable, "not ready: "+vw.NotReadyReason)
+		sv.refuseLookup(w, r, http.StatusServiceUnavailable, "not ready: "+vw.NotReadyReason)
 		return
 	}
 	query := r.URL.Query()
 	route := id.Route(query.Get("route"))
 	if !vw.routes[route] {
-		sv.refuseLookup(w, http.StatusNotFound, "route is unknown")
+		sv.refuseLookup(w, r, http.StatusNotFound, "route is unknown")
 		return
 	}
 	client := query.Get("client")
@@ -63,20 +64,20 @@
 	}
 	addr, err := netip.ParseAddr(client)
 	if err != nil {
-		sv.refuseLookup(w, http.StatusBadRequest, "client is not an IP address")
+		sv.refuseLookup(w, r, http.StatusBadRequest, "client is not an IP address")
 		return
 	}
 	sc := lookupBuffersPool.Get().(*lookupBuffers)
 	defer lookupBuffersPool.Put(sc)
 	sc.vms = vw.Lookup.Pick(vw.View, addr, route, sv.seq.Add(1), sc.vms[:0])
 	if len(sc.vms) == 0 {
-		sv.refuseLookup(w, http.StatusServiceUnavailable, "no entry VM can take the route")
+		sv.refuseLookup(w, r, http.StatusServiceUnavailable, "no entry VM can take the route")
 		return
 	}
 	home, _ := vw.Lookup.HomeSite(addr)
 	sc.entries = sv.appendEntries(sc.entries[:0], sc.vms, home, time.Now().Add(vw.ticketLifetime))
 	sv.mt.lookups.Inc(1)
-	writeJSON(w, http.StatusOK, lookupResponse{
+	writeJSON(w, r, http.StatusOK, lookupResponse{
 		Generation: vw.Config.Generation, TTLMs: vw.lookupTTL.Milliseconds(), Entries: sc.entries,
 	})
 }
@@ -92,19 +93,19 @@
 	return dst
 }
 
-func (sv *Server) refuseLookup(w http.ResponseWriter, status int, text string) {
+func (sv *Server) refuseLookup(w http.ResponseWriter, r *http.Request, status int, text string) {
 	sv.mt.lookupsRefused.Inc(1)
 	if status == http.StatusServiceUnavailable {
 		w.Header()["Retry-After"] = []string{"1"}
 	}
-	writeJSON(w, status, errorBody{Error: text})
+	writeJSON(w, r, status, errorBody{Error: text})
 }
 
 var contentJSON = []string{"application/json"}
 
 // writeJSON writes a response with val as JSON. It encodes into memory first, so that the response has a Content-Length
 // and is sent in one packet.
-func writeJSON(w http.ResponseWriter, status int, val any) {
+func writeJSON(w http.ResponseWriter, r *http.Request, status int, val any) {
 	src, err := json.Marshal(val)
 	if err != nil {
 		http.Error(w, "internal error", http.StatusInternalServerError)
@@ -113,10 +114,19 @@
 	hd := w.Header()
 	hd["Content-Type"] = contentJSON
 	hd["Content-Length"] = []string{strconv.Itoa(len(src))}
+	announceClose(w, r)
 	w.WriteHeader(status)
 	w.Write(src)
 }
 
+// announceClose tells the caller that its connection will be closed after the response, if that is so. It is called immediately before
+// the response is written, because the VM may have begun to leave while the request ran.
+func announceClose(w http.ResponseWriter, r *http.Request) {
+	if inbound.AnnounceClose(r) {
+		w.Header()["Connection"] = []string{"close"}
+	}
+}
+
 // newRequestID returns a random ID. It must be unique but need not be secret, because the ticket is authenticated.
 func newRequestID() id.Request {
 	var raw [16]byte
--- a/io/entry/refusal.go
+++ b/io/entry/refusal.go
@@ -73,7 +73,7 @@
 	return dedup.Response{Outcome: rf.outcome, Reason: rf.reason, Status: rf.status}
 }
 
-func (rf *refusal) write(w http.ResponseWriter, rq string) {
+func (rf *refusal) write(w http.ResponseWriter, r *http.Request, rq string) {
 	hd := w.Header()
 	hd[headerOutcome] = []string{string(rf.outcome)}
 	hd[headerReason] = []string{string(rf.reason)}
@@ -84,5 +84,5 @@
 	if rf.status == http.StatusUnauthorized {
 		hd["Www-Authenticate"] = []string{"Bearer"}
 	}
-	writeJSON(w, rf.status, errorBody{Error: rf.text})
+	writeJSON(w, r, rf.status, errorBody{Error: rf.text})
 }
--- a/io/entry/repeat.go
+++ b/io/entry/repeat.go
@@ -69,7 +69,7 @@
 		if rs.Outcome != dedup.Done {
 			rf.status = rs.Status
 		}
-		rf.write(rq.w, string(rq.id))
+		rf.write(rq.w, rq.r, string(rq.id))
 		return
 	}
 	// The stored response crosses the link again, so its bytes count against the link again. A duplicate can't be
@@ -77,7 +77,7 @@
 	ctx, cancel := context.WithTimeout(rq.r.Context(), rq.deadline())
 	defer cancel()
 	if _, err := rq.downlink.takeBytes(ctx, headerBytes(rs.Header)); err != nil {
-		unknown(dedup.Timeout).write(rq.w, string(rq.id))
+		unknown(dedup.Timeout).write(rq.w, rq.r, string(rq.id))
 		return
 	}
 	hd := rq.w.Header()
@@ -89,6 +89,7 @@
 	for name := range rs.Trailer {
 		hd.Add("Trailer", name)
 	}
+	announceClose(rq.w, rq.r)
 	rq.w.WriteHeader(rs.Status)
 	for src := rs.Body; len(src) > 0; {
 		num := min(len(src), rq.downlink.chunkSize())
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -350,7 +350,7 @@
 	if rq.body != nil {
 		rq.body.limitRestTime()
 	}
-	rf.write(rq.w, string(rq.id))
+	rf.write(rq.w, rq.r, string(rq.id))
 }
 
 // finish stores the outcome of the request for duplicates, and records it in the metrics, the events and the log.
--- a/io/entry/rig_test.go
+++ b/io/entry/rig_test.go
@@ -51,6 +51,7 @@
 	signer   *dedup.Signer
 	recorder *event.Recorder
 	logs     *syncBuffer
+	callers  *inbound.Listener
 	url      string
 	client   *http.Client
 	runs     *syncBuffer // one line for each request that reached a target
@@ -162,8 +163,9 @@
 		rg.t.Fatal(err)
 	}
 	hs := rg.sv.HTTPServer()
+	rg.callers = inbound.NewListener(ls)
 	done := make(chan struct{})
-	go func() { defer close(done); hs.Serve(inbound.NewListener(ls)) }()
+	go func() { defer close(done); hs.Serve(rg.callers) }()
 	rg.url = "http://" + ls.Addr().String()
 	tr := &http.Transport{DisableCompression: true}
 	rg.client = &http.Client{Transport: tr}
@@ -200,6 +202,7 @@
 	outcome, reason string
 	body            string
 	header, trailer http.Header
+	closes          bool // the connection is closed after the response
 	err             error
 }
 
@@ -237,7 +240,7 @@
 	src, err := io.ReadAll(resp.Body)
 	return response{
 		status: resp.StatusCode, outcome: resp.Header.Get("Damasklatch-Outcome"), reason: resp.Header.Get("Damasklatch-Reason"),
-		body: string(src), header: resp.Header, trailer: resp.Trailer, err: err,
+		body: string(src), header: resp.Header, trailer: resp.Trailer, closes: resp.Close, err: err,
 	}
 }
 
