Let callers' connections end with a response when the entry daemon shuts down

The daemon didn't tell the listener of callers that it leaves. A caller that kept using its connection saw it end without notice when the drain began, and a request that it sent at this moment was lost. The daemon calls Leave as soon as it has left the look-ups, so each connection ends after its next response, which announces it. New connections are still accepted for the holders of tickets.

--- a/io/daemon/shutdown_test.go
+++ b/io/daemon/shutdown_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -119,6 +120,34 @@
 
 func (sd *sender) run() { _, _ = io.WriteString(sd.cn, sd.text) }
 
+// Guards against a shutdown that lets callers use their connections until these are cut.
+func TestShutdownAnnouncesClose(t *testing.T) {
+	const key = "dlk_shutdown_test"
+	cl := newShutdownCluster(t, key)
+	cn := cl.dialCaller(false)
+	rd := bufio.NewReader(cn)
+	request := "GET /lamps/7 HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + key + "\r\n\r\n"
+	responses := 0
+	cl.cancel()
+	for ; ; responses++ {
+		fmt.Fprint(cn, request)
+		resp, err := http.ReadResponse(rd, nil)
+		if err != nil {
+			t.Fatalf("the connection ended without notice after %d responses: %v", responses, err)
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			t.Fatal(err)
+		}
+		if resp.Close {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	if _, err := rd.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("got error %v, want the end of the connection", err)
+	}
+}
+
 // Guards against a shutdown that cuts off a call of the operator or of monitoring.
 func TestShutdownAwaitsCall(t *testing.T) {
 	cl := newShutdownCluster(t, "dlk_shutdown_test")
--- a/io/daemon/start.go
+++ b/io/daemon/start.go
@@ -94,9 +94,9 @@
 	sv.body(ctx)
 }
 
-// stop shuts the daemon down without failing requests of callers. Look-ups stop returning the VM first. The daemon then
-// serves requests until the tickets that callers already hold have expired, waits for running requests, and closes the
-// listeners last.
+// stop shuts the daemon down without failing requests of callers. Look-ups stop returning the VM first, and connections of callers are
+// closed after their next response. The daemon then serves requests until the tickets that callers already hold have expired, waits for
+// running requests, and closes the listeners last.
 func (rn *runningDaemon) stop(ctx context.Context) error {
 	lc := rn.lc
 	lc.Log.Info("daemon is shutting down")
@@ -104,6 +104,7 @@
 	if err := lc.Control.post(ctx, leaveMsg{done: left}); err == nil {
 		<-left
 	}
+	rn.callerConns.Leave()
 	ttl := config.DefaultLookupTTL
 	if cfg := lc.Control.Config(); cfg != nil {
 		ttl = cfg.Settings.LookupTTL
