Don't believe a response without an ID of a target that names requests

A caller of the entry daemon could get the response to an earlier request as its own: a late copy, or any other bytes, that named no request and promised nothing was passed on, also on a connection on which the target had named requests before. Such a response counts as one to another request now: the connection is closed, an idempotent request is repeated, and any other gets 502 with the outcome "unknown". Targets that never name requests are served as before; their old responses can't be told from new ones.

--- a/io/entry/promise_test.go
+++ b/io/entry/promise_test.go
@@ -70,3 +70,29 @@
 		t.Errorf("%d requests ran that were refused", num)
 	}
 }
+
+// Guards against an old response that is passed on as that to a new request: it names no request, although the target names them.
+func TestUnnamedResponseOfNamingTarget(t *testing.T) {
+	rg := newRig(t, echo)
+	ts := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		nc, rw, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer nc.Close()
+		fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length: 3\r\n\r\nnew", r.Header.Get("Request-Id"))
+		next, err := http.ReadRequest(rw.Reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, next.Body)
+		fmt.Fprint(nc, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold")
+	}))
+	defer ts.Close()
+	rg.cfg.Sites[0].Targets[0].Address = ts.Listener.Addr().String()
+	rg.pool.SetTargets(time.Now(), rg.cfg.Sites)
+	rg.want("first", rg.call(http.MethodPost, "/book/1", nil, withTicket(rg.ticket())), 200, "done", "")
+	rg.want("second", rg.call(http.MethodPost, "/book/1", nil, withTicket(rg.ticket())), 502, "unknown", "connection_lost")
+}
--- a/io/target/conn.go
+++ b/io/target/conn.go
@@ -103,6 +103,14 @@
 	ca.cn.named = true
 }
 
+// acceptUnnamed reports whether a response that names no request and is no refusal belongs to this attempt, as far as can be told: it
+// does not on a connection with a response that named its request. Of a target that never names requests, each one is accepted.
+func (ca *connAttempt) acceptUnnamed() bool {
+	ca.cn.mu.Lock()
+	defer ca.cn.mu.Unlock()
+	return !ca.cn.named
+}
+
 // acceptUnnamedRefusal reports whether a refusal that names no request belongs to this attempt, as far as can be told: it does not on
 // a connection with a response that named its request or with another such refusal, of which it may be a late copy. The connection
 // then carries no further attempts.
--- a/io/target/do.go
+++ b/io/target/do.go
@@ -251,7 +251,8 @@
 	return nil, er
 }
 
-// accepts reports whether the response belongs to the request. A target need not name the request in its responses.
+// accepts reports whether the response belongs to the request, as far as can be told. A target need not name the request in its
+// responses.
 func (at *attempt) accepts(resp *http.Response) bool {
 	switch got := resp.Header.Get("Request-Id"); {
 	case got != "" && got != string(at.cl.rq.ID):
@@ -259,8 +260,10 @@
 	case got != "":
 		at.conn.setNamed()
 		return true
+	case reportsNotRun(resp):
+		return at.conn.acceptUnnamedRefusal()
 	default:
-		return !reportsNotRun(resp) || at.conn.acceptUnnamedRefusal()
+		return at.conn.acceptUnnamed()
 	}
 }
 
