--- a/io/daemon/start.go
+++ b/io/daemon/start.go
@@ -14,6 +14,7 @@
 
 	"damasklatch/core/config"
 	"damasklatch/core/event"
+	"damasklatch/internal/httpstop"
 	"damasklatch/io/configsync"
 	"damasklatch/io/entry"
 	"damasklatch/io/inbound"
@@ -93,9 +94,9 @@
 	sv.body(ctx)
 }
 
-// stop shuts the daemon down without failing requests of callers. Look-ups stop returning the VM first. The daemon then
-// serves requests until the tickets that callers already hold have expired, waits for running requests, and closes the
-// listeners last.
+// stop shuts the daemon down without failing requests of callers. Look-ups stop returning the VM first, and connections of callers are
+// closed after their next response. The daemon then serves requests until the tickets that callers already hold have expired, waits for
+// running requests, and closes the listeners last.
 func (rn *runningDaemon) stop(ctx context.Context) error {
 	lc := rn.lc
 	lc.Log.Info("daemon is shutting down")
@@ -103,6 +104,7 @@
 	if err := lc.Control.post(ctx, leaveMsg{done: left}); err == nil {
 		<-left
 	}
+	rn.callerConns.Leave()
 	ttl := config.DefaultLookupTTL
 	if cfg := lc.Control.Config(); cfg != nil {
 		ttl = cfg.Settings.LookupTTL
@@ -115,6 +117,7 @@
 	closed := rn.callerConns.Drain(ctx)
 	rn.callerConns.Abort()
 	rn.cancel()
+	httpstop.Stop(ctx, peerStopLimit, rn.peers.srv)
 	rn.peers.close()
 	lc.Sender.Wait()
 	lc.Targets.Close()
@@ -149,6 +152,8 @@
 const (
 	peerHeaderTimeout = 5 * time.Second
 	peerIdleTimeout   = 2 * time.Minute
+	// peerStopLimit is the time for which the shutdown waits for readiness checks and other short requests.
+	peerStopLimit = time.Second
 )
 
 // serveReady responds with status 200 if the daemon has a configuration, otherwise with 503 and the reason.
