Gateway: a short deadline of a caller is no failure of the target

Callers with short deadlines took sound targets away from all callers of a VM. With two targets of 100 ms service time, six bookings with a deadline of 30 ms were enough: the seventh got 503 "no_target".

Found by the soak with delayed links and callers whose deadline is about the service time: on a VM with one target of a pool, all requests got "no_target" within two seconds after 13 timeouts of this kind, and the target served other VMs all the while. Ruled out: the target was neither full nor cut off, other VMs used it.

An attempt that had less time than the latency objective of its route and ends at the deadline is now dropped from the target's results. Attempts with more time count as before, so silent targets are still found.

TestShortDeadlineIsNoFailureOfTarget fails on the code before: "Expected: 504, Actual: 503" at the seventh request.

--- a/io/gateway/attempt.go
+++ b/io/gateway/attempt.go
@@ -62,6 +62,9 @@
 		oc = rq.readResponse(ctx, lk, resp)
 	}
 	oc.target = ch.ID
+	if oc.timedOut() && rq.hadLittleTime(sent) {
+		oc.kind = placement.Dropped
+	}
 	if oc.resp != nil && !oc.info.Misplaced {
 		rq.sv.applyNotice(ch, &oc.info)
 	}
@@ -82,6 +85,18 @@
 	return oc
 }
 
+// timedOut reports whether the attempt ended at the deadline of the request.
+func (oc *outcome) timedOut() bool {
+	return oc.refusal.reason == reasonTimeout || oc.refusal.reason == reasonNotSent
+}
+
+// hadLittleTime reports whether an attempt that was sent at the given time had less time than the latency objective of its route. That it
+// got no response in this time tells nothing about the target: otherwise a few callers with short deadlines would take sound targets
+// away from all others.
+func (rq *request) hadLittleTime(sent time.Time) bool {
+	return rq.started.Add(rq.timeLimit()).Sub(sent) < rq.route.LatencyObjective
+}
+
 // applyNotice passes what the target of a choice says about itself to the placer. Only a response that may be passed on counts; the
 // target that responds 421 is another one.
 func (sv *Server) applyNotice(ch *placement.Choice, ri *ResponseInfo) {
