Ignore results of attempts at an address that a target had before

A target that had moved to another address got no more requests until it restarted, if an attempt at the old address ended afterwards with 421: the result was applied to the target by its name and start time alone. Results now count only for the process, and the address, that was chosen.

TestMisplacedBeforeMove fails on the code before: "Expected the map to contain the key: [north-0] (but it didn't)".

--- a/core/placement/feedback.go
+++ b/core/placement/feedback.go
@@ -19,12 +19,12 @@
 )
 
 // Done records the result of an attempt. It must be called once for each choice that Pick returned. A result is ignored if the
-// target has been removed or restarted since the choice.
+// target has been removed, or another process has its name, since the choice.
 func (pc *Placer) Done(now time.Time, ch *Choice, route id.Route, rs Result) {
 	pc.mu.Lock()
 	defer pc.mu.Unlock()
 	ts := pc.targets[ch.ID]
-	if ts == nil || ts.StartUnixMilli != ch.StartUnixMilli {
+	if ts == nil || ts.process() != ch.process() {
 		return
 	}
 	ts.ownInFlight = max(ts.ownInFlight-1, 0)
--- a/core/placement/notice_test.go
+++ b/core/placement/notice_test.go
@@ -110,3 +110,16 @@
 		})
 	})
 }
+
+// Guards against a target that is not used because another target has responded at the address that it had before.
+func TestMisplacedBeforeMove(t *testing.T) {
+	Convey("a target that has moved is used although its old address belongs to another", t, func() {
+		pc, list, now := newPlacer("a"), targets(2, "north"), start
+		pc.SetTargets(now, list)
+		ch := pickAll(pc, now)[list[0].ID]
+		list[0].Address = "y"
+		pc.SetTargets(now, list)
+		pc.Done(now, &ch, "read", placement.Result{Kind: placement.Misplaced})
+		So(pickAll(pc, now), ShouldContainKey, list[0].ID)
+	})
+}
