Keep notices of targets by process while their registration is missing

A target that had asked for a pause, or said that it leaves, got requests again when its registration was missing for a moment: the pause was kept only with the registered target. A leaving process got requests again when the store, or a VM that relays it, listed it once more after its successor, because the memory held one process for each name. A notice that came while the registration was missing was lost. A target that began to leave during a pause or while it drained was neither logged nor counted.

A response without a notice no longer takes the placer's lock.

TestNoticeOutlivesRegistration (3 of its cases) and TestLeavingWhileClosed fail on the code before: the target is used, and the notice that it leaves is reported as no change. TestPlanSeesNotices and TestLoadOfLeavingTargetIsSpread pass there, too: they guard what held.

--- a/core/placement/notice.go
+++ b/core/placement/notice.go
@@ -27,66 +27,88 @@
 	address        string
 }
 
-// leftProcess is a process that said that it was leaving.
-type leftProcess struct {
+// namedProcess is a process of the target with a name.
+type namedProcess struct {
+	name id.Target
 	process
+}
+
+// noticeState is what a process of a target has said about itself.
+type noticeState struct {
+	leaving     bool      // the process is shutting down
+	pausedUntil time.Time // until when it wants no requests from this VM
+}
+
+// heldNotice is the notice of a process, which holds also while its registration is missing.
+type heldNotice struct {
+	noticeState
 	seen time.Time // when its registration was last seen
 }
 
-// HandleNotice applies a notice of the target of a choice. It reports whether it has changed whether the target gets requests. It
-// ignores a notice of a process that is no longer registered.
+// HandleNotice applies a notice of the target of a choice. It reports whether the target began to leave or to pause by it. A notice of
+// a process that is not registered is only remembered, because its registration may come back.
 //
 // A target that leaves gets no further requests of this VM, whatever the store says, until another process with its name is
-// registered.
+// registered. Nothing that the process or the store says later ends it, and neither ends a pause early.
 func (pc *Placer) HandleNotice(now time.Time, ch *Choice, nt Notice) bool {
+	if nt == (Notice{}) {
+		return false
+	}
 	pc.mu.Lock()
 	defer pc.mu.Unlock()
+	key := ch.namedProcess()
+	was := pc.notices[key].noticeState
+	next := was.after(now, nt)
+	pc.notices[key] = heldNotice{next, now}
 	ts := pc.targets[ch.ID]
-	if ts == nil || ts.process() != ch.process() {
+	if ts == nil || ts.namedProcess() != key {
 		return false
 	}
-	before := ts.closed(now)
-	if nt.Pause > 0 {
-		until := now.Add(min(nt.Pause, maxPause))
-		if until.After(ts.pausedUntil) {
-			ts.pausedUntil = until
-		}
-	}
-	if nt.Leaving {
-		ts.leaving = true
-		pc.left[ch.ID] = leftProcess{ts.process(), now}
+	ts.noticeState = next
+	return !was.leaving && (next.leaving || !was.paused(now) && next.paused(now))
+}
+
+// after returns the state after a notice. Of two pauses, the one that ends last counts.
+func (ns noticeState) after(now time.Time, nt Notice) noticeState {
+	ns.leaving = ns.leaving || nt.Leaving
+	pause := min(nt.Pause, maxPause)
+	if until := now.Add(pause); pause > 0 && until.After(ns.pausedUntil) {
+		ns.pausedUntil = until
 	}
-	return before != ts.closed(now)
+	return ns
 }
 
+func (ns noticeState) paused(now time.Time) bool { return now.Before(ns.pausedUntil) }
+
 func (tg *Target) process() process { return process{tg.StartUnixMilli, tg.Address} }
 
-// restoreLeaving marks a registered target as leaving if its process has said so, even if its registration was missing since.
-func (pc *Placer) restoreLeaving(now time.Time, ts *targetState) {
-	lp, ok := pc.left[ts.ID]
-	switch {
-	case !ok:
-	case lp.process != ts.process():
-		delete(pc.left, ts.ID)
-	default:
-		ts.leaving = true
-		pc.left[ts.ID] = leftProcess{lp.process, now}
+func (tg *Target) namedProcess() namedProcess { return namedProcess{tg.ID, tg.process()} }
+
+// restoreNotice applies the notice that the process of a registered target has given before. Notices are kept by process and not by
+// name: an old registration of a process that was replaced may come back, from the store or from a VM that relays it.
+func (pc *Placer) restoreNotice(now time.Time, ts *targetState) {
+	key := ts.namedProcess()
+	if hn, ok := pc.notices[key]; ok {
+		ts.noticeState = hn.noticeState
+		pc.notices[key] = heldNotice{hn.noticeState, now}
 	}
 }
 
-// forgetLeft forgets the processes whose registration was not seen for leavingMemory.
-func (pc *Placer) forgetLeft(now time.Time) {
-	for name, lp := range pc.left {
-		if now.Sub(lp.seen) >= leavingMemory {
-			delete(pc.left, name)
+// forgetNotices forgets the notices that have no effect any more, and those of processes whose registration was not seen for
+// leavingMemory.
+func (pc *Placer) forgetNotices(now time.Time) {
+	for key, hn := range pc.notices {
+		if !hn.leaving && !hn.paused(now) || now.Sub(hn.seen) >= max(leavingMemory, maxPause) {
+			delete(pc.notices, key)
 		}
 	}
 }
 
 // closed reports whether the target gets no requests of this VM, for reasons other than failures.
-func (ts *targetState) closed(now time.Time) bool {
-	return ts.Draining || ts.leaving || ts.evacuated || ts.misplaced || now.Before(ts.pausedUntil)
-}
+func (ts *targetState) closed(now time.Time) bool { return ts.shut() || ts.paused(now) }
+
+// shut reports whether the target gets no requests of this VM until its registration or an evacuation changes.
+func (ts *targetState) shut() bool { return ts.Draining || ts.leaving || ts.evacuated || ts.misplaced }
 
 // noTarget returns the refusal of a request for which no target is usable. If all targets that could serve it later have asked for a
 // pause, the caller may return at the end of the first pause.
@@ -95,7 +117,7 @@
 	var soonest time.Duration
 	for _, ts := range pl.targets {
 		pause := ts.pausedUntil.Sub(now)
-		if ts.Draining || ts.leaving || ts.evacuated || ts.misplaced || rq.Allowed != nil && !rq.Allowed(ts.Region) {
+		if ts.shut() || rq.Allowed != nil && !rq.Allowed(ts.Region) {
 			continue
 		}
 		if pause <= 0 {
--- a/core/placement/notice_test.go
+++ b/core/placement/notice_test.go
@@ -9,6 +9,7 @@
 
 	"damasklatch/core/id"
 	"damasklatch/core/placement"
+	"damasklatch/core/workload"
 )
 
 // pickAll picks a target for many objects at the same time, and returns the targets by name. It ends the attempts at once.
@@ -111,6 +112,68 @@
 	})
 }
 
+// Guards against a notice that is forgotten when a registration is missing for a moment, or when the registration of a replaced
+// process comes back from the store or from a VM that relays it.
+func TestNoticeOutlivesRegistration(t *testing.T) {
+	for name, nt := range map[string]placement.Notice{"leaving": {Leaving: true}, "pause": {Pause: time.Minute}} {
+		t.Run(name, func(t *testing.T) {
+			Convey("a target that wants no requests", t, func() {
+				pc, list, now := newPlacer("a"), targets(4, "north"), start
+				pc.SetTargets(now, list)
+				ch := pickAll(pc, now)[list[0].ID]
+				So(pc.HandleNotice(now, &ch, nt), ShouldBeTrue)
+				uses := func() bool {
+					_, used := pickAll(pc, now)[list[0].ID]
+					return used
+				}
+				Convey("gets none when its registration was missing", func() {
+					pc.SetTargets(now, list[1:])
+					now = now.Add(time.Second)
+					pc.SetTargets(now, list)
+					So(uses(), ShouldBeFalse)
+				})
+				Convey("gets none when it says so while its registration is missing", func() {
+					ot := pickAll(pc, now)[list[1].ID]
+					pc.SetTargets(now, list[2:])
+					So(pc.HandleNotice(now, &ot, nt), ShouldBeFalse)
+					pc.SetTargets(now, list)
+					So(pickAll(pc, now), ShouldNotContainKey, list[1].ID)
+				})
+				Convey("gets none when its registration comes back after that of its successor, which is used", func() {
+					next := append([]placement.Target(nil), list...)
+					next[0].StartUnixMilli = 2
+					for range 3 {
+						now = now.Add(time.Second)
+						pc.SetTargets(now, next)
+						So(uses(), ShouldBeTrue)
+						pc.SetTargets(now, list)
+						So(uses(), ShouldBeFalse)
+					}
+				})
+			})
+		})
+	}
+}
+
+// Guards against a target that begins to leave during a pause, or while it drains, without a log line and a count.
+func TestLeavingWhileClosed(t *testing.T) {
+	Convey("a notice that a target leaves is reported once", t, func() {
+		pc, list, now := newPlacer("a"), targets(2, "north"), start
+		pc.SetTargets(now, list)
+		all := pickAll(pc, now)
+		paused, draining := all[list[0].ID], all[list[1].ID]
+		So(pc.HandleNotice(now, &paused, placement.Notice{Pause: time.Second}), ShouldBeTrue)
+		So(pc.HandleNotice(now, &paused, placement.Notice{Pause: time.Second}), ShouldBeFalse)
+		So(pc.HandleNotice(now, &paused, placement.Notice{Leaving: true}), ShouldBeTrue)
+		So(pc.HandleNotice(now, &paused, placement.Notice{Leaving: true}), ShouldBeFalse)
+		So(pc.HandleNotice(now.Add(2*time.Second), &paused, placement.Notice{Pause: time.Second}), ShouldBeFalse)
+		list[1].Draining = true
+		pc.SetTargets(now, list)
+		So(pc.HandleNotice(now, &draining, placement.Notice{Leaving: true}), ShouldBeTrue)
+		So(pc.HandleNotice(now, &draining, placement.Notice{Leaving: true}), ShouldBeFalse)
+	})
+}
+
 // Guards against a target that is not used because another target has responded at the address that it had before.
 func TestMisplacedBeforeMove(t *testing.T) {
 	Convey("a target that has moved is used although its old address belongs to another", t, func() {
@@ -123,3 +186,55 @@
 		So(pickAll(pc, now), ShouldContainKey, list[0].ID)
 	})
 }
+
+// Guards against the load of a target that leaves going to a single other one.
+func TestLoadOfLeavingTargetIsSpread(t *testing.T) {
+	Convey("the requests of a target that leaves are spread over the others", t, func() {
+		pc, list, now := newPlacer("a"), targets(8, "north"), start
+		pc.SetTargets(now, list)
+		counts := func() map[id.Target]int {
+			all := map[id.Target]int{}
+			for nr := range 2000 {
+				ch, rf := pc.Pick(now, request(fmt.Sprint(nr)))
+				So(rf, ShouldBeNil)
+				all[ch.ID]++
+				pc.Done(now, &ch, "read", placement.Result{Kind: placement.Dropped})
+			}
+			return all
+		}
+		before := counts()
+		ch := pickAll(pc, now)[list[0].ID]
+		pc.HandleNotice(now, &ch, placement.Notice{Leaving: true})
+		after := counts()
+		moved := before[list[0].ID]
+		for _, tg := range list[1:] {
+			So(after[tg.ID]-before[tg.ID], ShouldBeBetween, 0, moved*3/7)
+		}
+	})
+}
+
+// Guards against a plan that counts the slots of targets that pause or leave.
+func TestPlanSeesNotices(t *testing.T) {
+	for name, nt := range map[string]placement.Notice{"leaving": {Leaving: true}, "pause": {Pause: 10 * time.Second}} {
+		t.Run(name, func(t *testing.T) {
+			Convey("half of a region's targets want no requests, and half of its work moves to another region", t, func() {
+				pc := newPlacer("a")
+				list := append(targets(4, "north"), targets(4, "south")...)
+				pc.SetTargets(start, list)
+				now := afterFirstRequests(pc)
+				demand := map[id.Pool]map[id.Region]workload.Demand{"desk": {"north": {Slots: 8}}}
+				pc.UpdatePlan(now, demand)
+				So(shares(pc, now, request)["north"], ShouldAlmostEqual, 1)
+				for _, tg := range list[:2] {
+					So(pc.HandleNotice(now, &placement.Choice{Target: tg}, nt), ShouldBeTrue)
+				}
+				for range 50 {
+					now = now.Add(100 * time.Millisecond)
+					pc.CountArrival(request("x"))
+					pc.UpdatePlan(now, demand)
+				}
+				So(shares(pc, now, request)["north"], ShouldBeBetween, 0.4, 0.6)
+			})
+		})
+	}
+}
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -52,7 +52,7 @@
 	pools       map[id.Pool]*pool
 	warmups     map[id.Pool]Warmup
 	evacuated   map[id.FailureDomain]bool
-	left        map[id.Target]leftProcess // processes that said that they were leaving
+	notices     map[namedProcess]heldNotice // of the processes that have given one
 	rankBuffer  []rankedTarget
 }
 
@@ -79,7 +79,7 @@
 func New(op Options) *Placer {
 	return &Placer{
 		op: op, vms: map[id.Region][]id.VM{op.Region: {op.Self}}, targets: map[id.Target]*targetState{}, pools: map[id.Pool]*pool{},
-		warmups: map[id.Pool]Warmup{}, evacuated: map[id.FailureDomain]bool{}, left: map[id.Target]leftProcess{},
+		warmups: map[id.Pool]Warmup{}, evacuated: map[id.FailureDomain]bool{}, notices: map[namedProcess]heldNotice{},
 	}
 }
 
@@ -112,7 +112,7 @@
 			delete(pc.targets, name)
 		}
 	}
-	pc.forgetLeft(now)
+	pc.forgetNotices(now)
 	pc.started = pc.started || len(targets) > 0
 	pc.rebuildIndexes()
 }
@@ -128,7 +128,7 @@
 		ts.coldUntil = now.Add(tg.ColdFor)
 	}
 	ts.Target = tg
-	pc.restoreLeaving(now, ts)
+	pc.restoreNotice(now, ts)
 }
 
 // SetEvacuated replaces the set of evacuated failure domains, whose targets get no requests. When an evacuation ends, the
--- a/core/placement/target.go
+++ b/core/placement/target.go
@@ -107,9 +107,8 @@
 	coldUntil time.Time
 	coldPacer pacer
 
-	misplaced           bool      // a different target responded at its address
-	leaving             bool      // the target has said that it is shutting down
-	pausedUntil         time.Time // until when the target wants no requests from this VM
+	misplaced           bool // a different target responded at its address
+	noticeState              // what the target has said about itself
 	failureRate         float64
 	consecutiveFailures int
 	ejectedUntil        time.Time
