Let the load of a target return gradually after its pause

When a target's pause ended, each VM sent it its whole load at once, and all VMs do so at nearly the same moment, because each got its 503 within a few requests. The fraction of requests that may go there now grows from a tenth to all of them within the length of the pause, two seconds at most. Which ones depends on a hash of target, object and VM, so it needs no messages. The plan across regions counts the slots in the same proportion. A caller that is refused meanwhile is told when its request may be sent.

TestReturnIsGradual fails on the code before: of 1365 requests at 195 VMs, 1365 go to the target at the end of the pause (now 155, 760 after half of the return, 1365 at its end; at 58 VMs 52, 235 and 406 of 406, at 10 VMs 8, 43 and 70 of 70).

--- a/core/placement/demand.go
+++ b/core/placement/demand.go
@@ -129,12 +129,13 @@
 	}
 }
 
-// capacity returns the number of slots of the pool by region, without targets that get no new requests for now.
+// capacity returns the number of slots of the pool by region, without targets that get no new requests for now. Of a target that
+// returns from a pause, the slots count in proportion to the requests that it may get.
 func (pl *pool) capacity(now time.Time) map[id.Region]float64 {
 	all := map[id.Region]float64{}
 	for _, ts := range pl.targets {
 		if !ts.closed(now) {
-			all[ts.Region] += float64(ts.Slots)
+			all[ts.Region] += float64(ts.Slots) * ts.returned(now)
 		}
 	}
 	return all
--- a/core/placement/notice.go
+++ b/core/placement/notice.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"damasklatch/core/id"
+	"damasklatch/core/rendezvous"
 )
 
 const (
@@ -12,6 +13,10 @@
 	// leavingMemory is the time for which a process that was leaving is remembered after its registration was last seen. It must be
 	// longer than a registration can be missing by mistake.
 	leavingMemory = 10 * time.Minute
+	// After a pause, the fraction of requests that may be sent to the target grows from firstReturnFraction to 1 within a time as
+	// long as the pause, and maxReturnTime at most. Otherwise all VMs would send their whole load at the same moment.
+	firstReturnFraction = 0.1
+	maxReturnTime       = 2 * time.Second
 )
 
 // Notice is what a target says about itself in a response. A VM acts only on notices that it has received itself: another VM gets its
@@ -37,6 +42,7 @@
 type noticeState struct {
 	leaving     bool      // the process is shutting down
 	pausedUntil time.Time // until when it wants no requests from this VM
+	returnTime  time.Duration
 }
 
 // heldNotice is the notice of a process, which holds also while its registration is missing.
@@ -73,13 +79,31 @@
 	ns.leaving = ns.leaving || nt.Leaving
 	pause := min(nt.Pause, maxPause)
 	if until := now.Add(pause); pause > 0 && until.After(ns.pausedUntil) {
-		ns.pausedUntil = until
+		ns.pausedUntil, ns.returnTime = until, min(pause, maxReturnTime)
 	}
 	return ns
 }
 
 func (ns noticeState) paused(now time.Time) bool { return now.Before(ns.pausedUntil) }
 
+// returned returns the fraction of requests that the target may get again after its pause.
+func (ns noticeState) returned(now time.Time) float64 {
+	since := now.Sub(ns.pausedUntil)
+	switch {
+	case since < 0:
+		return 0
+	case since >= ns.returnTime:
+		return 1
+	}
+	return firstReturnFraction + (1-firstReturnFraction)*float64(since)/float64(ns.returnTime)
+}
+
+// opensAt returns when a request may be sent to the target again after its pause, given a position of the request in [0, 1).
+func (ns noticeState) opensAt(position float64) time.Time {
+	late := max(position-firstReturnFraction, 0) / (1 - firstReturnFraction)
+	return ns.pausedUntil.Add(time.Duration(late * float64(ns.returnTime)))
+}
+
 func (tg *Target) process() process { return process{tg.StartUnixMilli, tg.Address} }
 
 func (tg *Target) namedProcess() namedProcess { return namedProcess{tg.ID, tg.process()} }
@@ -98,37 +122,58 @@
 // leavingMemory.
 func (pc *Placer) forgetNotices(now time.Time) {
 	for key, hn := range pc.notices {
-		if !hn.leaving && !hn.paused(now) || now.Sub(hn.seen) >= max(leavingMemory, maxPause) {
+		if !hn.leaving && hn.returned(now) >= 1 || now.Sub(hn.seen) >= max(leavingMemory, maxPause) {
 			delete(pc.notices, key)
 		}
 	}
 }
 
+// position returns the position of requests on an object among those that return to the target after its pause. It differs between
+// VMs, so that requests on one object do not return from all VMs at the same moment.
+func (pc *Placer) position(ts *targetState, object uint64) float64 {
+	return unitOf(rendezvous.Mix(ts.hash ^ rendezvous.Mix(object^pc.selfHash)))
+}
+
 // closed reports whether the target gets no requests of this VM, for reasons other than failures.
 func (ts *targetState) closed(now time.Time) bool { return ts.shut() || ts.paused(now) }
 
 // shut reports whether the target gets no requests of this VM until its registration or an evacuation changes.
 func (ts *targetState) shut() bool { return ts.Draining || ts.leaving || ts.evacuated || ts.misplaced }
 
+// openFor reports whether the target gets requests of this VM on an object, apart from failures.
+func (pc *Placer) openFor(now time.Time, ts *targetState, object uint64) bool {
+	return !ts.closed(now) && (ts.returned(now) >= 1 || !now.Before(ts.opensAt(pc.position(ts, object))))
+}
+
 // noTarget returns the refusal of a request for which no target is usable. If all targets that could serve it later have asked for a
 // pause, the caller may return at the end of the first pause.
-func (pc *Placer) noTarget(now time.Time, pl *pool, rq *Request, region id.Region) *Refusal {
+func (pc *Placer) noTarget(now time.Time, pl *pool, rq *Request, object uint64, region id.Region) *Refusal {
 	rf := &Refusal{Reason: NoTarget, RetryAfter: noTargetRetryAfter, Region: region}
+	if pause, ok := pc.poolPause(now, pl, rq, object); ok {
+		rf.RetryAfter = max(pause, minRetryAfter)
+	}
+	return rf
+}
+
+// poolPause reports whether all targets that could serve the request later have asked for a pause, and the time until the end of the
+// first one. If one has ended, it returns the time until this request may be sent.
+func (pc *Placer) poolPause(now time.Time, pl *pool, rq *Request, object uint64) (time.Duration, bool) {
 	var soonest time.Duration
+	found := false
 	for _, ts := range pl.targets {
-		pause := ts.pausedUntil.Sub(now)
 		if ts.shut() || rq.Allowed != nil && !rq.Allowed(ts.Region) {
 			continue
 		}
-		if pause <= 0 {
-			return rf
+		if pc.openFor(now, ts, object) {
+			return 0, false
 		}
-		if soonest == 0 || pause < soonest {
-			soonest = pause
+		until := ts.pausedUntil
+		if !ts.paused(now) {
+			until = ts.opensAt(pc.position(ts, object))
+		}
+		if pause := until.Sub(now); !found || pause < soonest {
+			soonest, found = pause, true
 		}
 	}
-	if soonest > 0 {
-		rf.RetryAfter = max(soonest, minRetryAfter)
-	}
-	return rf
+	return soonest, found
 }
--- a/core/placement/notice_test.go
+++ b/core/placement/notice_test.go
@@ -187,6 +187,73 @@
 	})
 }
 
+// fleetPicks returns the number of requests that each of several VMs sends to a target, of 20 on different objects each.
+func fleetPicks(now time.Time, vms []*placement.Placer, name id.Target) []int {
+	nums := make([]int, len(vms))
+	for nr, pc := range vms {
+		for object := range 20 {
+			ch, rf := pc.Pick(now, request(fmt.Sprint(object)))
+			if rf != nil {
+				continue
+			}
+			if ch.ID == name {
+				nums[nr]++
+			}
+			pc.Done(now, &ch, "read", placement.Result{Kind: placement.Dropped})
+		}
+	}
+	return nums
+}
+
+func sumOf(nums []int) (sum, senders int) {
+	for _, num := range nums {
+		sum += num
+		if num > 0 {
+			senders++
+		}
+	}
+	return sum, senders
+}
+
+// Guards against VMs that all send their whole load to a target at the moment when its pause ends.
+func TestReturnIsGradual(t *testing.T) {
+	for _, num := range []int{10, 58, 195} {
+		t.Run(fmt.Sprint(num), func(t *testing.T) {
+			Convey("the load of a target grows after its pause", t, func() {
+				list, now := targets(4, "north"), start
+				var vms []*placement.Placer
+				for nr := range num {
+					pc := newPlacer(id.VM(fmt.Sprint("vm-", nr)))
+					pc.SetTargets(now, list)
+					vms = append(vms, pc)
+				}
+				before, _ := sumOf(fleetPicks(now, vms, list[0].ID))
+				for _, pc := range vms {
+					ch := pickAll(pc, now)[list[0].ID]
+					pc.HandleNotice(now, &ch, placement.Notice{Pause: 3 * time.Second})
+				}
+				last := 0
+				for _, step := range []struct {
+					after       time.Duration
+					least, most float64
+				}{
+					{2999 * time.Millisecond, 0, 0},
+					{3 * time.Second, 0.02, 0.25},
+					{4 * time.Second, 0.4, 0.7},
+					{5 * time.Second, 1, 1},
+				} {
+					sum, senders := sumOf(fleetPicks(now.Add(step.after), vms, list[0].ID))
+					t.Logf("%d VMs, %v after the pause began: %d of %d requests, from %d VMs", num, step.after, sum, before, senders)
+					So(float64(sum), ShouldBeGreaterThanOrEqualTo, step.least*float64(before))
+					So(float64(sum), ShouldBeLessThanOrEqualTo, step.most*float64(before))
+					So(sum, ShouldBeGreaterThanOrEqualTo, last)
+					last = sum
+				}
+			})
+		})
+	}
+}
+
 // Guards against the load of a target that leaves going to a single other one.
 func TestLoadOfLeavingTargetIsSpread(t *testing.T) {
 	Convey("the requests of a target that leaves are spread over the others", t, func() {
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -53,6 +53,7 @@
 	warmups     map[id.Pool]Warmup
 	evacuated   map[id.FailureDomain]bool
 	notices     map[namedProcess]heldNotice // of the processes that have given one
+	selfHash    uint64
 	rankBuffer  []rankedTarget
 }
 
@@ -80,6 +81,7 @@
 	return &Placer{
 		op: op, vms: map[id.Region][]id.VM{op.Region: {op.Self}}, targets: map[id.Target]*targetState{}, pools: map[id.Pool]*pool{},
 		warmups: map[id.Pool]Warmup{}, evacuated: map[id.FailureDomain]bool{}, notices: map[namedProcess]heldNotice{},
+		selfHash: rendezvous.Hash(string(op.Self)),
 	}
 }
 
@@ -198,8 +200,8 @@
 	pc.mu.Lock()
 	defer pc.mu.Unlock()
 	pl := pc.pool(rq.Pool)
-	object := rendezvous.Hash(string(rq.Route), rq.Object)
-	if rq.Size >= largeBody && pc.regionUsable(now, pl, rq, pc.op.Region) {
+	object := rq.objectHash()
+	if rq.Size >= largeBody && pc.regionUsable(now, pl, rq, object, pc.op.Region) {
 		// A request with a large body leaves the region only if the region is full, to save bandwidth between regions.
 		if ch, rf := pc.pickInRegion(now, pl, rq, object, pc.op.Region); rf == nil {
 			return ch, nil
@@ -207,7 +209,7 @@
 	}
 	region, ok := pc.chooseRegion(now, pl, rq, object)
 	if !ok {
-		return Choice{}, pc.noTarget(now, pl, rq, "")
+		return Choice{}, pc.noTarget(now, pl, rq, object, "")
 	}
 	return pc.pickInRegion(now, pl, rq, object, region)
 }
@@ -217,7 +219,7 @@
 	cd, ok := pc.bestTarget(now, pl, pl.regions[region], rq, object)
 	ts, wait := cd.target, cd.wait
 	if !ok {
-		return Choice{}, pc.noTarget(now, pl, rq, region)
+		return Choice{}, pc.noTarget(now, pl, rq, object, region)
 	}
 	ch := Choice{
 		Target: ts.Target, ExpectedWait: wait, HedgeDelay: hedgeDelay(pl.serviceTimesFor(rq), wait, rq.Remaining),
@@ -256,7 +258,7 @@
 // chooseRegion chooses a region according to the plan. Without a plan, or if the plan has no usable region, it chooses the own
 // region if that is usable, and otherwise an arbitrary usable region.
 func (pc *Placer) chooseRegion(now time.Time, pl *pool, rq *Request, object uint64) (id.Region, bool) {
-	usable := func(name id.Region) bool { return pc.regionUsable(now, pl, rq, name) }
+	usable := func(name id.Region) bool { return pc.regionUsable(now, pl, rq, object, name) }
 	if pl.plan.weights != nil {
 		if name, ok := pl.plan.chooseRegion(object, rq.Object != "", usable); ok {
 			return name, true
@@ -274,17 +276,17 @@
 }
 
 // regionUsable reports whether the request may be sent to the region and an eligible target exists there.
-func (pc *Placer) regionUsable(now time.Time, pl *pool, rq *Request, name id.Region) bool {
+func (pc *Placer) regionUsable(now time.Time, pl *pool, rq *Request, object uint64, name id.Region) bool {
 	if rq.Allowed != nil && !rq.Allowed(name) {
 		return false
 	}
-	return slices.ContainsFunc(pl.regions[name], func(ts *targetState) bool { return pc.eligible(now, ts, rq) })
+	return slices.ContainsFunc(pl.regions[name], func(ts *targetState) bool { return pc.eligible(now, ts, rq, object) })
 }
 
 // eligible reports whether this VM may send the request to the target now. A target that was tried before is not eligible. A
 // cold target is eligible only for the VMs that warm it up, at a limited rate.
-func (pc *Placer) eligible(now time.Time, ts *targetState, rq *Request) bool {
-	if !ts.usable(now) || slices.Contains(rq.Tried, ts.ID) {
+func (pc *Placer) eligible(now time.Time, ts *targetState, rq *Request, object uint64) bool {
+	if !ts.usable(now) || !pc.openFor(now, ts, object) || slices.Contains(rq.Tried, ts.ID) {
 		return false
 	}
 	if now.Before(ts.coldUntil) {
@@ -343,10 +345,11 @@
 	first := true
 	for _, rk := range pc.rankBuffer {
 		ts := rk.target
-		// All VMs prefer the first usable target in the ranking for an object, so it is assumed to know the object.
-		preferred := first && ts.usable(now)
+		// All VMs prefer the first usable target in the ranking for an object, so it is assumed to know the object. While a target
+		// returns from a pause, some VMs prefer the next one, which served the object during the pause.
+		preferred := first && ts.usable(now) && pc.openFor(now, ts, object)
 		first = first && !preferred
-		if !pc.eligible(now, ts, rq) {
+		if !pc.eligible(now, ts, rq, object) {
 			continue
 		}
 		cd := candidate{target: ts, wait: ts.expectedWait(now, sv.known)}
@@ -369,5 +372,8 @@
 	return best, ok
 }
 
+// unitOf maps a hash to a number in (0, 1).
+func unitOf(hash uint64) float64 { return (float64(hash>>11) + 0.5) / (1 << 53) }
+
 // logUnit returns the natural logarithm of a number in (0, 1).
 func logUnit(unit float64) float64 { return math.Log(unit) }
--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -214,7 +214,7 @@
 	best := -1.0
 	for _, name := range names {
 		// Weighted rendezvous hashing: an object keeps its region as long as the weights do not change.
-		unit := (float64(rendezvous.Mix(object^rendezvous.Hash(string(name)))>>11) + 0.5) / (1 << 53)
+		unit := unitOf(rendezvous.Mix(object ^ rendezvous.Hash(string(name))))
 		if score := pn.weights[name] / sum / -logUnit(unit); score > best {
 			best, preferred = score, name
 		}
--- a/core/placement/target.go
+++ b/core/placement/target.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"damasklatch/core/id"
+	"damasklatch/core/rendezvous"
 )
 
 // Target describes a target as registered in the store.
@@ -32,6 +33,9 @@
 	Tried     []id.Target          // targets of earlier attempts, which are not chosen again
 }
 
+// objectHash returns the hash of the route and the object.
+func (rq *Request) objectHash() uint64 { return rendezvous.Hash(string(rq.Route), rq.Object) }
+
 // Choice is a target that was chosen for an attempt.
 type Choice struct {
 	Target
