Withdraw requests whose target begins to pause or leave while they wait for a connection

The target of a request was checked when it was chosen only. A request that then waited for a connection, up to 300 ms for each of up to eight unsuitable connections, was sent however long ago the target had asked for no more. It is now checked again when a connection is available, before anything is written, and the request goes to another target. This is no retry: nothing has reached a target. The result is counted as "withdrawn".

TestWithdrawnRequestIsNotSent and TestMaySend do not compile on the code before, which has no such check. The wait itself is not reproduced with real processes: on the loopback interface a connection is available at once.

--- a/core/placement/feedback.go
+++ b/core/placement/feedback.go
@@ -52,7 +52,7 @@
 		if ts.consecutiveFailures++; ts.consecutiveFailures >= breaksToEject {
 			ts.eject(now)
 		}
-	case Dropped:
+	case Dropped, Withdrawn:
 		ts.probing = ts.probing && ts.consecutiveFailures > 0
 	}
 }
--- a/core/placement/notice.go
+++ b/core/placement/notice.go
@@ -177,3 +177,12 @@
 	}
 	return soonest, found
 }
+
+// MaySend reports whether a request for which a target was chosen may still be sent there. It may not if the target has begun to leave
+// or to pause since, or if its registration has changed.
+func (pc *Placer) MaySend(now time.Time, ch *Choice) bool {
+	pc.mu.Lock()
+	defer pc.mu.Unlock()
+	ts := pc.targets[ch.ID]
+	return ts != nil && ts.process() == ch.process() && !ts.closed(now)
+}
--- a/core/placement/notice_test.go
+++ b/core/placement/notice_test.go
@@ -305,3 +305,34 @@
 		})
 	}
 }
+
+// Guards against a request that is sent to a target which began to pause or to leave, or was replaced, while the request waited for a
+// connection.
+func TestMaySend(t *testing.T) {
+	Convey("a request for which a target was chosen", t, func() {
+		pc, list, now := newPlacer("a"), targets(2, "north"), start
+		pc.SetTargets(now, list)
+		ch := pickAll(pc, now)[list[0].ID]
+		So(pc.MaySend(now, &ch), ShouldBeTrue)
+		Convey("may not be sent during a pause", func() {
+			pc.HandleNotice(now, &ch, placement.Notice{Pause: time.Second})
+			So(pc.MaySend(now, &ch), ShouldBeFalse)
+			So(pc.MaySend(now.Add(time.Second), &ch), ShouldBeTrue)
+		})
+		Convey("may not be sent once the target leaves", func() {
+			pc.HandleNotice(now, &ch, placement.Notice{Leaving: true})
+			So(pc.MaySend(now.Add(time.Minute), &ch), ShouldBeFalse)
+		})
+		Convey("may not be sent once the target drains, is removed or has another process", func() {
+			for _, change := range []func(tg *placement.Target){
+				func(tg *placement.Target) { tg.Draining = true }, func(tg *placement.Target) { tg.StartUnixMilli = 2 },
+				func(tg *placement.Target) { tg.Address = "y" }, func(tg *placement.Target) { tg.ID = "other" },
+			} {
+				next := append([]placement.Target(nil), list...)
+				change(&next[0])
+				pc.SetTargets(now, next)
+				So(pc.MaySend(now, &ch), ShouldBeFalse)
+			}
+		})
+	})
+}
--- a/core/placement/target.go
+++ b/core/placement/target.go
@@ -76,6 +76,7 @@
 	Misplaced ResultKind = "misplaced" // a different target responded at the address
 	Unreached ResultKind = "unreached" // no connection could be made
 	Broken    ResultKind = "broken"    // the connection broke or there was no response in time
+	Withdrawn ResultKind = "withdrawn" // the target began to leave or to pause before the request was sent
 	Dropped   ResultKind = "dropped"   // the attempt was canceled; this says nothing about the target
 )
 
--- a/io/gateway/attempt.go
+++ b/io/gateway/attempt.go
@@ -54,7 +54,9 @@
 	sent := time.Now()
 	ctx, cancel := context.WithCancel(ctx)
 	lk := rq.sv.link(&ch.Target)
-	resp, err := lk.Exchange(ctx, rq.targetRequest(&ch.Target, sent))
+	out := rq.targetRequest(&ch.Target, sent)
+	out.MaySend = func() bool { return rq.sv.op.Placer.MaySend(time.Now(), ch) }
+	resp, err := lk.Exchange(ctx, out)
 	var oc *outcome
 	if err != nil {
 		oc = rq.classifyError(err)
@@ -193,6 +195,8 @@
 		oc.kind = placement.Unreached
 	case target.Canceled:
 		oc.kind = placement.Dropped
+	case target.Withdrawn:
+		oc.kind = placement.Withdrawn
 	case target.TimedOut:
 		if !oc.mayHaveRun {
 			oc.kind = placement.Unreached
--- a/io/gateway/forward.go
+++ b/io/gateway/forward.go
@@ -40,7 +40,8 @@
 			last.discard()
 		}
 		oc := rq.send(ch)
-		if oc.kind == placement.Unreached {
+		notSent := oc.kind == placement.Unreached || oc.kind == placement.Withdrawn
+		if notSent {
 			unreached++
 			rq.attempts--
 		}
@@ -48,7 +49,7 @@
 		if oc.spurious {
 			rq.allowAgain(oc.target)
 		}
-		if !rq.mayRetry(oc, unreached) || oc.kind != placement.Unreached && !rq.sv.op.Budget.Take(time.Now(), rq.placement.Pool) {
+		if !rq.mayRetry(oc, unreached) || !notSent && !rq.sv.op.Budget.Take(time.Now(), rq.placement.Pool) {
 			return rq.finish(last)
 		}
 	}
--- a/io/gateway/metrics.go
+++ b/io/gateway/metrics.go
@@ -77,7 +77,7 @@
 		mt.notices[kind] = sc.Tagged(map[string]string{"kind": string(kind)}).Counter("target_notices")
 	}
 	for _, kind := range []placement.ResultKind{
-		placement.Succeeded, placement.Failed, placement.Shed, placement.Misplaced, placement.Unreached, placement.Broken, placement.Dropped,
+		placement.Succeeded, placement.Failed, placement.Shed, placement.Misplaced, placement.Unreached, placement.Broken, placement.Withdrawn, placement.Dropped,
 	} {
 		mt.attempts[kind] = sc.Tagged(map[string]string{"kind": string(kind)}).Counter("target_attempts")
 	}
--- a/io/target/client.go
+++ b/io/target/client.go
@@ -57,6 +57,9 @@
 	// ResponseID returns the ID of the request to which a response with the given header belongs, or an empty ID if the
 	// header has none.
 	ResponseID func(hd http.Header) id.Request
+	// MaySend reports whether the request may still be sent. It is called when a connection is available, which may be long after the
+	// request was made. Nil stands for a function that returns true.
+	MaySend func() bool
 
 	Method string
 	URL    *url.URL
@@ -161,6 +164,9 @@
 		maxIdle = time.Duration(ex.client.idleTimeout.Load())
 	}
 	ca := cn.beginAttempt(time.Now(), maxIdle, ex.out.ID)
+	if ex.out.MaySend != nil && !ex.out.MaySend() {
+		ca.withdraw()
+	}
 	ex.mu.Lock()
 	defer ex.mu.Unlock()
 	ex.conn, ex.reused = ca, info.Reused
@@ -191,6 +197,8 @@
 		er.Kind = DialFailed
 	case errors.Is(err, errForeignResponse):
 		er.Kind = ForeignResponse
+	case errors.Is(blocked, errWithdrawn):
+		er.Kind, er.Cause = Withdrawn, blocked
 	case er.MayHaveRun:
 		er.Kind = ResetAfterWrite
 	case blocked != nil:
--- a/io/target/client_test.go
+++ b/io/target/client_test.go
@@ -480,3 +480,39 @@
 		})
 	})
 }
+
+// Guards against a request that is sent to a target although it was withdrawn while it waited for a connection.
+func TestWithdrawnRequestIsNotSent(t *testing.T) {
+	arrived := atomic.Int32{}
+	st := startScriptedTarget(t, func(sc *scriptedConn) {
+		for rid, ok := sc.next(); ok; rid, ok = sc.next() {
+			arrived.Add(1)
+			sc.respond(200, rid)
+		}
+	})
+	cl := NewClient("t", st.ln.Addr().String(), time.Second)
+	t.Cleanup(cl.Close)
+	send := func(rid id.Request, maySend bool) *Error {
+		resp, err := cl.Exchange(context.Background(), &OutgoingRequest{
+			ID: rid, ResponseID: func(hd http.Header) id.Request { return id.Request(hd.Get("Request-Id")) },
+			MaySend: func() bool { return maySend }, Method: http.MethodGet,
+			URL:  &url.URL{Scheme: "http", Host: cl.address, Path: "/"},
+			Host: "desk", Header: http.Header{"Request-Id": {string(rid)}},
+		})
+		if err == nil {
+			resp.Body.Close()
+		}
+		return err
+	}
+	Convey("a request is withdrawn on a new connection and on one that has carried another", t, func() {
+		for nr := range 2 {
+			err := send(id.Request(fmt.Sprint("withdrawn-", nr)), false)
+			So(err, ShouldNotBeNil)
+			So(err.Kind, ShouldEqual, Withdrawn)
+			So(err.MayHaveRun, ShouldBeFalse)
+			So(arrived.Load(), ShouldEqual, nr)
+			So(send(id.Request(fmt.Sprint("sent-", nr)), true), ShouldBeNil)
+			So(arrived.Load(), ShouldEqual, nr+1)
+		}
+	})
+}
--- a/io/target/conn.go
+++ b/io/target/conn.go
@@ -21,6 +21,7 @@
 	errCarriedRequest = errors.New("connection has already carried an attempt of this request")
 	errRetired        = errors.New("an earlier response on the connection could not be identified")
 	errClosedUnused   = errors.New("connection was closed after an earlier attempt, before this one wrote to it")
+	errWithdrawn      = errors.New("the request must no longer be sent to the target")
 	errAttemptEnded   = errors.New("attempt has ended")
 )
 
@@ -96,6 +97,13 @@
 	}
 }
 
+// withdraw makes all writes of an attempt that has not written yet fail.
+func (ca *connAttempt) withdraw() {
+	ca.cn.mu.Lock()
+	defer ca.cn.mu.Unlock()
+	ca.writeErr = errWithdrawn
+}
+
 // setNamed records that a response on the connection has named its request.
 func (ca *connAttempt) setNamed() {
 	ca.cn.mu.Lock()
--- a/io/target/error.go
+++ b/io/target/error.go
@@ -21,6 +21,7 @@
 	Refused          ErrorKind = "refused"      // the target reports that it has not run the request
 	ForeignResponse  ErrorKind = "foreign"      // the response belongs to another request
 	Canceled         ErrorKind = "canceled"     // the caller disconnected, or its body ended early
+	Withdrawn        ErrorKind = "withdrawn"    // the request was withdrawn before anything was sent
 	TooLarge         ErrorKind = "too_large"    // the request body is larger than the route allows
 )
 
