Count notices in responses that can't be relied on

A Server-Leaving or a pause in a response to another request, a broken one, one without a signature or one of a target at another's address changed nothing, but nobody could see it. It is counted as invalid now.

TestUnsoundNotices fails on the code before in all four cases: condition "counted" does not hold after 15s.

--- a/io/gateway/attempt.go
+++ b/io/gateway/attempt.go
@@ -66,6 +66,8 @@
 	oc.target = ch.ID
 	if oc.resp != nil && !oc.info.Misplaced {
 		rq.sv.applyNotice(ch, &oc.info)
+	} else {
+		rq.sv.ignoreNotice(&oc.info)
 	}
 	if oc.mayHaveRun {
 		rq.mayHaveRun.Store(true)
@@ -84,6 +86,14 @@
 	return oc
 }
 
+// ignoreNotice counts a notice in a response that can't be relied on: one to another request, a part of a response, one that no target
+// has signed, or one of a target at the address of another.
+func (sv *Server) ignoreNotice(ri *ResponseInfo) {
+	if ri.InvalidNotice || ri.Notice != (placement.Notice{}) {
+		sv.op.Metrics.countNotice(noticeInvalid)
+	}
+}
+
 // applyNotice passes what the target of a choice says about itself to the placer. Only a response that may be passed on counts; the
 // target that responds 421 is another one.
 func (sv *Server) applyNotice(ch *placement.Choice, ri *ResponseInfo) {
@@ -197,6 +207,11 @@
 		oc.kind = placement.Dropped
 	case target.Withdrawn:
 		oc.kind = placement.Withdrawn
+	case target.ForeignResponse:
+		if err.Foreign != nil {
+			ri := rq.sv.op.Codec.DecodeResponse(err.Foreign.StatusCode, err.Foreign.Header)
+			rq.sv.ignoreNotice(&ri)
+		}
 	case target.TimedOut:
 		if !oc.mayHaveRun {
 			oc.kind = placement.Unreached
--- a/io/target/client.go
+++ b/io/target/client.go
@@ -113,7 +113,11 @@
 		return resp, nil
 	}
 	ex.body.stop()
-	return nil, ex.classify(ctx, err)
+	er := ex.classify(ctx, err)
+	if er.Kind == ForeignResponse {
+		er.Foreign = resp
+	}
+	return nil, er
 }
 
 // accepts reports whether the response belongs to the request. If the target has sent an additional response, every later response
--- a/io/target/error.go
+++ b/io/target/error.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"net/http"
 
 	"damasklatch/core/id"
 )
@@ -36,6 +37,8 @@
 	// MayHaveRun reports whether a target may have run the request or may still run it.
 	MayHaveRun bool
 	Cause      error // may be nil
+	// Foreign is the response to another request, without its body. It is nil unless the kind is ForeignResponse.
+	Foreign *http.Response
 }
 
 func (er *Error) Error() string {
