Let requests wait for the end of a pause of all targets, or name that time

A request whose targets all pause was refused at once even if it could live until the first of them returns. A request that got the 503 with the pause itself was told to return after 200 ms, or 10 ms if the target reported free slots, while its targets still paused for seconds.

A request that can live so long waits now, as far as the VM's part of the targets' slots allows, half of it for requests that are not urgent. They are tried again at their own time of the gradual return. Others are refused at once with the end of the first pause.

--- a/core/placement/notice.go
+++ b/core/placement/notice.go
@@ -150,7 +150,7 @@
 func (pc *Placer) noTarget(now time.Time, pl *pool, rq *Request, object uint64, region id.Region) *Refusal {
 	rf := &Refusal{Reason: NoTarget, RetryAfter: noTargetRetryAfter, Region: region}
 	if pause, ok := pc.poolPause(now, pl, rq, object); ok {
-		rf.RetryAfter = max(pause, minRetryAfter)
+		rf.RetryAfter, rf.Paused = max(pause, minRetryAfter), true
 	}
 	return rf
 }
--- a/core/placement/notice_test.go
+++ b/core/placement/notice_test.go
@@ -336,3 +336,43 @@
 		})
 	})
 }
+
+// Guards against requests that wait without bound, or in vain, for the end of a pause of all targets.
+func TestWaitForPause(t *testing.T) {
+	Convey("all targets of a pool pause for a second", t, func() {
+		pc, list, now := newPlacer("a"), targets(3, "north"), start
+		pc.SetTargets(now, list)
+		pc.SetVMs(map[id.Region][]id.VM{"north": {"a", "b"}, "south": {"c", "d"}})
+		So(pc.BeginWait(now, request("x"), time.Minute), ShouldBeFalse)
+		for _, tg := range list {
+			pc.HandleNotice(now, &placement.Choice{Target: tg}, placement.Notice{Pause: time.Second})
+		}
+		_, rf := pc.Pick(now, request("x"))
+		So(rf.Paused, ShouldBeTrue)
+		So(pc.PoolPause(now, request("x")), ShouldEqual, time.Second)
+		Convey("a request that can't live so long may not wait", func() {
+			So(pc.BeginWait(now, request("x"), time.Second), ShouldBeFalse)
+			So(pc.BeginWait(now, request("x"), 3*time.Second), ShouldBeTrue)
+		})
+		Convey("each VM lets its part of as many requests wait as there are slots, half of it for requests that are not urgent", func() {
+			wait := func(urgent bool) int {
+				num := 0
+				rq := request("x")
+				for rq.Urgent = urgent; num < 100 && pc.BeginWait(now, rq, time.Minute); num++ {
+				}
+				return num
+			}
+			So(wait(false), ShouldEqual, 2)
+			So(wait(true), ShouldEqual, 1)
+			pc.EndWait("desk")
+			So(wait(true), ShouldEqual, 1)
+		})
+		Convey("a target that leaves is not waited for", func() {
+			for _, tg := range list {
+				pc.HandleNotice(now, &placement.Choice{Target: tg}, placement.Notice{Leaving: true})
+			}
+			So(pc.BeginWait(now, request("x"), time.Minute), ShouldBeFalse)
+			So(pc.PoolPause(now, request("x")), ShouldEqual, 0)
+		})
+	})
+}
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -70,6 +70,7 @@
 	plan         plan
 	serviceTimes map[id.Route]*serviceTimes
 	demand       demandMeter
+	waiting      int // requests that wait in this VM for the end of a pause
 }
 
 // serviceTimes holds moving averages of the time that a target takes for requests of a route: for requests on objects that the
--- a/core/placement/target.go
+++ b/core/placement/target.go
@@ -61,6 +61,9 @@
 	Reason     Reason
 	RetryAfter time.Duration
 	Region     id.Region // the chosen region; empty if no region has a usable target
+	// Paused is set if all targets that could serve the request have asked for a pause. RetryAfter is then the time until the end of
+	// the first pause.
+	Paused bool
 	// Best is the target with the lowest cost. It is set if the reason is Full.
 	Best Choice
 }
--- a/io/gateway/forward.go
+++ b/io/gateway/forward.go
@@ -29,6 +29,9 @@
 	var last *outcome
 	for {
 		ch, rf := rq.sv.op.Placer.Pick(time.Now(), &rq.placement)
+		if rf != nil && last == nil {
+			ch, rf = rq.waitForTarget(rf)
+		}
 		if rf != nil {
 			if last != nil {
 				return rq.finish(last)
@@ -106,7 +109,7 @@
 	if !oc.passOn {
 		rq.cause = oc.cause
 		oc.discard()
-		return &oc.refusal
+		return rq.refusalOf(oc)
 	}
 	rq.writeResponse(oc)
 	return nil
