Send requests to another region when theirs lacks slots of targets that pause or leave

When half of a region's targets pause or leave, the plan moves at most a fifth of the work to other regions in a second. Until then requests were refused as full while the other regions had free slots. The plan itself is unchanged.

TestRefusedRegionLacksSlots fails on the code before: 5 of 20 requests are refused, want 0, for targets that leave and for targets that pause.

--- a/core/placement/notice_test.go
+++ b/core/placement/notice_test.go
@@ -376,3 +376,44 @@
 		})
 	})
 }
+
+// Guards against requests that are refused in a region which has lost half of its targets a moment ago, while another region has free
+// slots and the plan has not moved work there yet.
+func TestRefusedRegionLacksSlots(t *testing.T) {
+	for name, nt := range map[string]placement.Notice{"leaving": {Leaving: true}, "pause": {Pause: 10 * time.Second}} {
+		t.Run(name, func(t *testing.T) {
+			Convey("requests that fill the rest of a region", t, func() {
+				pc := newPlacer("a")
+				list := append(targets(4, "north"), targets(4, "south")...)
+				pc.SetTargets(start, list)
+				now := afterFirstRequests(pc)
+				demand := map[id.Pool]map[id.Region]workload.Demand{"desk": {"north": {Slots: 8}}}
+				pc.UpdatePlan(now, demand)
+				north := func(num int) (in int, refused int) {
+					for nr := range num {
+						ch, rf := pc.Pick(now, request(fmt.Sprint(nr)))
+						switch {
+						case rf != nil:
+							refused++
+						case ch.Region == "north":
+							in++
+						}
+					}
+					return in, refused
+				}
+				Convey("are refused if no target is missing", func() {
+					_, refused := north(40)
+					So(refused, ShouldBeGreaterThan, 0)
+				})
+				Convey("are sent to the other region if half of them are", func() {
+					for _, tg := range list[:2] {
+						pc.HandleNotice(now, &placement.Choice{Target: tg}, nt)
+					}
+					in, refused := north(20)
+					So(refused, ShouldEqual, 0)
+					So(in, ShouldBeBetween, 4, 16)
+				})
+			})
+		})
+	}
+}
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -212,7 +212,11 @@
 	if !ok {
 		return Choice{}, pc.noTarget(now, pl, rq, object, "")
 	}
-	return pc.pickInRegion(now, pl, rq, object, region)
+	ch, rf := pc.pickInRegion(now, pl, rq, object, region)
+	if rf != nil {
+		return pc.pickElsewhere(now, pl, rq, object, rf)
+	}
+	return ch, nil
 }
 
 // pickInRegion chooses a target in the given region.
