Show targets that pause or leave in metrics, status and explain

Operators saw a log line when a target began to pause or to leave, and a counter. Which targets are out of use now, and for how long, was not to be seen, and explain showed the line only within 10 s before a request.

Counters and log line for a notice exist already.

--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -37,6 +37,18 @@
 	// TargetFailureDomain is the failure domain of the target of the last attempt.
 	TargetFailureDomain string `json:"target_failure_domain"`
 	text                string
+	// Leaving and PauseMS are what a target has said about itself, in a line on a notice.
+	Leaving bool  `json:"leaving"`
+	PauseMS int64 `json:"pause_ms"`
+}
+
+// noticeMessage begins the lines on notices of targets.
+const noticeMessage = "target wants no requests"
+
+// inEffect reports whether the line is on a notice of a target that still holds at a later time. That of a target that leaves holds as
+// long as its process is registered, which the log does not tell.
+func (ln *logLine) inEffect(at time.Time) bool {
+	return ln.Message == noticeMessage && (ln.Leaving || at.Sub(ln.Time) <= time.Duration(ln.PauseMS)*time.Millisecond)
 }
 
 // maxLineBytes is the maximum length of a log line.
@@ -100,12 +112,13 @@
 }
 
 // selectLines returns the lines of the request, and the lines without a request_id that the same VMs logged up to Before
-// earlier.
+// earlier. Of targets that had said earlier that they leave or pause, it returns those whose notice was in effect and that are in the
+// pool of the request.
 func (ex *Explain) selectLines(all []logLine) []logLine {
-	last := map[string]time.Time{}
+	last, pools := map[string]time.Time{}, map[string]string{}
 	for _, ln := range all {
 		if ln.RequestID == ex.Request {
-			last[ln.VM] = ln.Time
+			last[ln.VM], pools[ln.VM] = ln.Time, ln.Pool
 		}
 	}
 	var found []logLine
@@ -114,7 +127,8 @@
 		switch {
 		case ln.RequestID == ex.Request:
 			found = append(found, ln)
-		case ok && ln.RequestID == "" && !ln.Time.After(at) && at.Sub(ln.Time) <= ex.Before:
+		case !ok || ln.RequestID != "" || ln.Time.After(at):
+		case at.Sub(ln.Time) <= ex.Before, ln.inEffect(at) && ln.Pool == pools[ln.VM]:
 			found = append(found, ln)
 		}
 	}
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -12,14 +12,18 @@
 
 // Status shows the status of the entry VMs.
 type Status struct {
-	StoreOptions
-	VM      string `arg:"--vm" placeholder:"VM" help:"show what this VM knows of the others, and its shares"`
-	Targets bool   `arg:"--targets" help:"show the targets with their requests in flight, summed over the VMs"`
+	OutputOptions
+	Store    string        `arg:"--store,env:DAMASKLATCH_STORE" placeholder:"ADDRESS" help:"IP address and port of the platform store, needed without --gateway"`
+	Timeout  time.Duration `arg:"--timeout,env:DAMASKLATCH_TIMEOUT" default:"15s" placeholder:"TIME" help:"longest time that the command tries"`
+	Secret   string        `arg:"--operator-secret-file,env:DAMASKLATCH_OPERATOR_SECRET_FILE" placeholder:"FILE" help:"file with the operator's secret, needed to reach the entry VMs"`
+	Gateways []string      `arg:"--gateway,separate" placeholder:"ADDRESS" help:"show the targets as the gateway with this metrics address sees them; may be repeated"`
+	VM       string        `arg:"--vm" placeholder:"VM" help:"show what this VM knows of the others, and its shares"`
+	Targets  bool          `arg:"--targets" help:"show the targets with their requests in flight, summed over the VMs"`
 }
 
 // Examples implements Command.
 func (*Status) Examples() []string {
-	return []string{"damasklatch status", "damasklatch status --targets", "damasklatch status --vm north-a-1 --output json"}
+	return []string{"damasklatch status", "damasklatch status --targets", "damasklatch status --vm north-a-1 --output json", "damasklatch status --gateway 10.0.0.5:9100"}
 }
 
 // vmStatus is the JSON form of a VM's status.
@@ -56,7 +60,14 @@
 
 // Run implements Command.
 func (st *Status) Run(ctx context.Context, ev *Env) error {
-	ctx, cancel, ss, err := st.open(ctx, ev)
+	if len(st.Gateways) > 0 {
+		return st.runGateways(ctx, ev)
+	}
+	if st.Store == "" {
+		return inputErrorf("--store or --gateway is required")
+	}
+	so := &StoreOptions{Store: st.Store, Timeout: st.Timeout, Secret: st.Secret}
+	ctx, cancel, ss, err := so.open(ctx, ev)
 	if err != nil {
 		return err
 	}
--- a/io/gateway/daemon.go
+++ b/io/gateway/daemon.go
@@ -209,7 +209,8 @@
 		return err
 	}
 	dc := &dropCounter{log: lc.Lines, metrics: lc.Server.op.Metrics}
-	bodies := []func(context.Context){rn.control.loop, rn.conn.Run, rg.run, lc.Reloader.run, dc.run}
+	tg := &targetGauges{placer: lc.Placer, metrics: lc.Server.op.Metrics}
+	bodies := []func(context.Context){rn.control.loop, rn.conn.Run, rg.run, lc.Reloader.run, dc.run, tg.run}
 	for _, in := range rn.control.informers {
 		bodies = append(bodies, in.Run)
 	}
@@ -247,6 +248,7 @@
 		return byAddress[address]
 	}
 	route(gs.MetricsAddress).Handle("/metrics", lc.Metrics.Handler).Methods(http.MethodGet)
+	route(gs.MetricsAddress).Handle(TargetsPath, targetsHandler{lc.Placer}).Methods(http.MethodGet)
 	route(gs.RelayAddress).Handle(objects.MirrorPath, rn.control.mirror.Handler()).Methods(http.MethodGet)
 	route(gs.ReadyAddress).NewRoute().Handler(lc.Adapter.ReadyHandler(rn.control.Ready))
 	route(gs.LookupAddress).NewRoute().Handler(lc.Adapter.LookupHandler(rn.control))
--- a/io/gateway/metrics.go
+++ b/io/gateway/metrics.go
@@ -20,6 +20,7 @@
 	dropped  tally.Counter
 	notices  map[noticeKind]tally.Counter
 	unstated map[int]tally.Counter // by the status of the target's response
+	targets  map[placement.TargetState]tally.Gauge
 }
 
 // noticeKind classifies what targets say about themselves in responses.
@@ -71,7 +72,10 @@
 		attempts: map[placement.ResultKind]tally.Counter{}, results: map[Reason]tally.Counter{}, losses: map[Loss]tally.Counter{},
 		latency: sc.Histogram("request_latency", latencyBuckets),
 		dropped: sc.Counter("log_lines_dropped"), notices: map[noticeKind]tally.Counter{},
-		unstated: map[int]tally.Counter{},
+		unstated: map[int]tally.Counter{}, targets: map[placement.TargetState]tally.Gauge{},
+	}
+	for _, st := range placement.TargetStates {
+		mt.targets[st] = sc.Tagged(map[string]string{"state": string(st)}).Gauge("targets")
 	}
 	for _, kind := range []noticeKind{noticeLeaving, noticePause, noticeInvalid} {
 		mt.notices[kind] = sc.Tagged(map[string]string{"kind": string(kind)}).Counter("target_notices")
@@ -96,6 +100,17 @@
 
 func (mt *Metrics) countNotice(kind noticeKind) { mt.notices[kind].Inc(1) }
 
+// setTargets sets the number of targets in each state.
+func (mt *Metrics) setTargets(list []placement.TargetStatus) {
+	nums := map[placement.TargetState]int{}
+	for _, st := range list {
+		nums[st.State]++
+	}
+	for st, ga := range mt.targets {
+		ga.Update(float64(nums[st]))
+	}
+}
+
 func (mt *Metrics) countAttempt(kind placement.ResultKind) { mt.attempts[kind].Inc(1) }
 
 // countUnstated counts a response of a target whose status is one of notRunStatuses, without a statement of the target.
--- a/io/gateway/metrics_test.go
+++ b/io/gateway/metrics_test.go
@@ -25,6 +25,7 @@
 	gm.dropped.Inc(1)
 	gm.countNotice(noticeLeaving)
 	gm.countUnstated(http.StatusServiceUnavailable)
+	gm.setTargets(nil)
 	time.Sleep(metrics.ReportInterval + 200*time.Millisecond) // values become visible after an interval
 	rec := httptest.NewRecorder()
 	mt.Handler.ServeHTTP(rec, httptest.NewRequest(http.MethodGet, "/metrics", nil))
