Shorten the return after a pause, and send refused requests to whole regions only

And the return took as long as the pause while the other targets were overloaded.

Regions that lack slots are left out now, and the return takes half of the pause, one second at most.

Tried and dropped (trials): letting requests return before their turn if they would wait elsewhere.

--- a/core/placement/missing.go
+++ b/core/placement/missing.go
@@ -26,15 +26,16 @@
 }
 
 // pickElsewhere chooses a target in another region for a request that is refused in a region which lacks slots. The plan moves work to
-// other regions too, but only a limited part in a second, and the request would be refused meanwhile. It returns the refusal if no
-// region has a target with an acceptable wait.
+// other regions too, but only a limited part in a second, and the request would be refused meanwhile. Regions that lack slots
+// themselves are left out: their targets do not know the object, and the work would displace that of their own. It returns the refusal
+// if no region has a target with an acceptable wait.
 func (pc *Placer) pickElsewhere(now time.Time, pl *pool, rq *Request, object uint64, rf *Refusal) (Choice, *Refusal) {
 	if rf.Reason != Full || !pl.lacksSlots(now, rf.Region) {
 		return Choice{}, rf
 	}
 	var others []id.Region
 	for name := range pl.regions {
-		if name != rf.Region && pc.regionUsable(now, pl, rq, object, name) {
+		if name != rf.Region && !pl.lacksSlots(now, name) && pc.regionUsable(now, pl, rq, object, name) {
 			others = append(others, name)
 		}
 	}
--- a/core/placement/notice.go
+++ b/core/placement/notice.go
@@ -13,10 +13,11 @@
 	// leavingMemory is the time for which a process that was leaving is remembered after its registration was last seen. It must be
 	// longer than a registration can be missing by mistake.
 	leavingMemory = 10 * time.Minute
-	// After a pause, the fraction of requests that may be sent to the target grows from firstReturnFraction to 1 within a time as
-	// long as the pause, and maxReturnTime at most. Otherwise all VMs would send their whole load at the same moment.
+	// After a pause, the fraction of requests that may be sent to the target grows from firstReturnFraction to 1 within half of the
+	// length of the pause, and maxReturnTime at most. Otherwise all VMs would send their whole load at the same moment. A longer return
+	// costs callers more than it spares the target, because the other targets are overloaded meanwhile.
 	firstReturnFraction = 0.1
-	maxReturnTime       = 2 * time.Second
+	maxReturnTime       = time.Second
 )
 
 // Notice is what a target says about itself in a response. A VM acts only on notices that it has received itself: another VM gets its
@@ -79,7 +80,7 @@
 	ns.leaving = ns.leaving || nt.Leaving
 	pause := min(nt.Pause, maxPause)
 	if until := now.Add(pause); pause > 0 && until.After(ns.pausedUntil) {
-		ns.pausedUntil, ns.returnTime = until, min(pause, maxReturnTime)
+		ns.pausedUntil, ns.returnTime = until, min(pause/2, maxReturnTime)
 	}
 	return ns
 }
