--- a/core/placement/notice.go
+++ b/core/placement/notice.go
@@ -14,9 +14,10 @@
 	// longer than a registration can be missing by mistake.
 	leavingMemory = 10 * time.Minute
 	// After a pause, the fraction of requests that may be sent to the target grows from firstReturnFraction to 1 within half of the
-	// length of the pause, and maxReturnTime at most. Otherwise all VMs would send their whole load at the same moment. A longer return
+	// length of the pause, but minReturnTime at least and maxReturnTime at most. Otherwise all VMs would send their whole load at the same moment. A longer return
 	// costs callers more than it spares the target, because the other targets are overloaded meanwhile.
 	firstReturnFraction = 0.1
+	minReturnTime       = 250 * time.Millisecond // for VMs that are told shortly before the end of the pause
 	maxReturnTime       = time.Second
 )
 
@@ -80,7 +81,7 @@
 	ns.leaving = ns.leaving || nt.Leaving
 	pause := min(nt.Pause, maxPause)
 	if until := now.Add(pause); pause > 0 && until.After(ns.pausedUntil) {
-		ns.pausedUntil, ns.returnTime = until, min(pause/2, maxReturnTime)
+		ns.pausedUntil, ns.returnTime = until, min(max(pause/2, minReturnTime), maxReturnTime)
 	}
 	return ns
 }
