--- a/core/placement/target.go
+++ b/core/placement/target.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"damasklatch/core/id"
+	"damasklatch/core/rendezvous"
 )
 
 // Target describes a target as registered in the store.
@@ -32,6 +33,9 @@
 	Tried     []id.Target          // targets of earlier attempts, which are not chosen again
 }
 
+// objectHash returns the hash of the route and the object.
+func (rq *Request) objectHash() uint64 { return rendezvous.Hash(string(rq.Route), rq.Object) }
+
 // Choice is a target that was chosen for an attempt.
 type Choice struct {
 	Target
@@ -57,6 +61,9 @@
 	Reason     Reason
 	RetryAfter time.Duration
 	Region     id.Region // the chosen region; empty if no region has a usable target
+	// Paused is set if all targets that could serve the request have asked for a pause. RetryAfter is then the time until the end of
+	// the first pause.
+	Paused bool
 	// Best is the target with the lowest cost. It is set if the reason is Full.
 	Best Choice
 }
@@ -72,6 +79,7 @@
 	Misplaced ResultKind = "misplaced" // a different target responded at the address
 	Unreached ResultKind = "unreached" // no connection could be made
 	Broken    ResultKind = "broken"    // the connection broke or there was no response in time
+	Withdrawn ResultKind = "withdrawn" // the target began to leave or to pause before the request was sent
 	Dropped   ResultKind = "dropped"   // the attempt was canceled; this says nothing about the target
 )
 
@@ -107,9 +115,8 @@
 	coldUntil time.Time
 	coldPacer pacer
 
-	misplaced           bool      // a different target responded at its address
-	leaving             bool      // the target has said that it is shutting down
-	pausedUntil         time.Time // until when the target wants no requests from this VM
+	misplaced           bool // a different target responded at its address
+	noticeState              // what the target has said about itself
 	failureRate         float64
 	consecutiveFailures int
 	ejectedUntil        time.Time
--- a/io/gateway/attempt.go
+++ b/io/gateway/attempt.go
@@ -54,7 +54,9 @@
 	sent := time.Now()
 	ctx, cancel := context.WithCancel(ctx)
 	lk := rq.sv.link(&ch.Target)
-	resp, err := lk.Exchange(ctx, rq.targetRequest(&ch.Target, sent))
+	out := rq.targetRequest(&ch.Target, sent)
+	out.MaySend = func() bool { return rq.sv.op.Placer.MaySend(time.Now(), ch) }
+	resp, err := lk.Exchange(ctx, out)
 	var oc *outcome
 	if err != nil {
 		oc = rq.classifyError(err)
@@ -67,6 +69,8 @@
 	}
 	if oc.resp != nil && !oc.info.Misplaced {
 		rq.sv.applyNotice(ch, &oc.info)
+	} else {
+		rq.sv.ignoreNotice(&oc.info)
 	}
 	if oc.mayHaveRun {
 		rq.mayHaveRun.Store(true)
@@ -97,6 +101,14 @@
 	return rq.started.Add(rq.timeLimit()).Sub(sent) < rq.route.LatencyObjective
 }
 
+// ignoreNotice counts a notice in a response that can't be relied on: one to another request, a part of a response, one that no target
+// has signed, or one of a target at the address of another.
+func (sv *Server) ignoreNotice(ri *ResponseInfo) {
+	if ri.InvalidNotice || ri.Notice != (placement.Notice{}) {
+		sv.op.Metrics.countNotice(noticeInvalid)
+	}
+}
+
 // applyNotice passes what the target of a choice says about itself to the placer. Only a response that may be passed on counts; the
 // target that responds 421 is another one.
 func (sv *Server) applyNotice(ch *placement.Choice, ri *ResponseInfo) {
@@ -208,6 +220,13 @@
 		oc.kind = placement.Unreached
 	case target.Canceled:
 		oc.kind = placement.Dropped
+	case target.Withdrawn:
+		oc.kind = placement.Withdrawn
+	case target.ForeignResponse:
+		if err.Foreign != nil {
+			ri := rq.sv.op.Codec.DecodeResponse(err.Foreign.StatusCode, err.Foreign.Header)
+			rq.sv.ignoreNotice(&ri)
+		}
 	case target.TimedOut:
 		if !oc.mayHaveRun {
 			oc.kind = placement.Unreached
--- a/io/gateway/forward.go
+++ b/io/gateway/forward.go
@@ -29,6 +29,9 @@
 	var last *outcome
 	for {
 		ch, rf := rq.sv.op.Placer.Pick(time.Now(), &rq.placement)
+		if rf != nil && last == nil {
+			ch, rf = rq.waitForTarget(rf)
+		}
 		if rf != nil {
 			if last != nil {
 				return rq.finish(last)
@@ -40,7 +43,8 @@
 			last.discard()
 		}
 		oc := rq.send(ch)
-		if oc.kind == placement.Unreached {
+		notSent := oc.kind == placement.Unreached || oc.kind == placement.Withdrawn
+		if notSent {
 			unreached++
 			rq.attempts--
 		}
@@ -48,7 +52,7 @@
 		if oc.spurious {
 			rq.allowAgain(oc.target)
 		}
-		if !rq.mayRetry(oc, unreached) || oc.kind != placement.Unreached && !rq.sv.op.Budget.Take(time.Now(), rq.placement.Pool) {
+		if !rq.mayRetry(oc, unreached) || !notSent && !rq.sv.op.Budget.Take(time.Now(), rq.placement.Pool) {
 			return rq.finish(last)
 		}
 	}
@@ -105,7 +109,7 @@
 	if !oc.passOn {
 		rq.cause = oc.cause
 		oc.discard()
-		return &oc.refusal
+		return rq.refusalOf(oc)
 	}
 	rq.writeResponse(oc)
 	return nil
--- a/io/gateway/metrics_test.go
+++ b/io/gateway/metrics_test.go
@@ -26,6 +26,7 @@
 	gm.countNotice(noticeLeaving)
 	gm.countUnstated(http.StatusServiceUnavailable)
 	gm.setCopyAge("targets", time.Second, 1)
+	gm.setTargets(nil)
 	time.Sleep(metrics.ReportInterval + 200*time.Millisecond) // values become visible after an interval
 	rec := httptest.NewRecorder()
 	mt.Handler.ServeHTTP(rec, httptest.NewRequest(http.MethodGet, "/metrics", nil))
--- a/io/target/error.go
+++ b/io/target/error.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"net/http"
 
 	"damasklatch/core/id"
 )
@@ -21,6 +22,7 @@
 	Refused          ErrorKind = "refused"      // the target reports that it has not run the request
 	ForeignResponse  ErrorKind = "foreign"      // the response belongs to another request
 	Canceled         ErrorKind = "canceled"     // the caller disconnected, or its body ended early
+	Withdrawn        ErrorKind = "withdrawn"    // the request was withdrawn before anything was sent
 	TooLarge         ErrorKind = "too_large"    // the request body is larger than the route allows
 )
 
@@ -35,6 +37,8 @@
 	// MayHaveRun reports whether a target may have run the request or may still run it.
 	MayHaveRun bool
 	Cause      error // may be nil
+	// Foreign is the response to another request, without its body. It is nil unless the kind is ForeignResponse.
+	Foreign *http.Response
 }
 
 func (er *Error) Error() string {
