Tell VMs that lose only each other that the other one still counts

What targets saw: requests of a team beyond its limit, while two VMs of one failure domain don't reach each other but both reach other VMs and the store.

Cause: a VM that is silent for 7 s is replaced as coordinator. In a failure domain of two VMs, or between its two aggregators, nobody told either of them that the other one is still heard elsewhere: aggregators got no summary of each other, and summaries of a failure domain were sent to other failure domains only. Neither sent heartbeats through the store, since other VMs heard it. So both counted.

Change: a VM adds to its summaries for a peer those of the peer's failure domain that list a VM which the peer doesn't list itself. A peer that makes no summaries gets those that list a VM which the sender doesn't hear. Aggregators of a failure domain send each other their own summary.

Evidence: TestFleetKeepsLimitsWithCutPairs in core/quota, 1,000 checks each. TestVMsThatLoseOnlyEachOther in core/roster guards the mechanism.

--- a/core/quota/model_test.go
+++ b/core/quota/model_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -52,6 +53,8 @@
 	countTraffic   bool // whether send counts messages and bytes
 	// clocksJump adds jumps of the time of day to the faults. Incarnations are then times of day.
 	clocksJump bool
+	// pairCutUntil holds until when two VMs don't reach each other. If it is nil, such cuts are not among the faults.
+	pairCutUntil map[pair]time.Time
 	// unrunOneIn is the number of admitted requests of which one does not run, so that its token is returned; 0 for none.
 	unrunOneIn int
 }
@@ -170,6 +173,9 @@
 	if mc == ot {
 		return true
 	}
+	if now.Before(mc.fl.pairCutUntil[pairOf(mc, ot)]) {
+		return false
+	}
 	if mc.domain != ot.domain && (now.Before(mc.domainIsolatedUntil) || now.Before(ot.domainIsolatedUntil)) {
 		return false
 	}
@@ -280,6 +286,9 @@
 			return
 		}
 		sent[to] = true
+		if own != nil {
+			summaries = slices.Concat(summaries, mc.roster.UnheardBy(fl.now, to))
+		}
 		st.Summaries, st.Report.Echo, st.Report.EchoOf = summaries, 0, 0
 		if rp := direct[to]; rp != nil {
 			st.Report.Echo, st.Report.EchoOf = rp.Sent, rp.Incarnation
@@ -293,8 +302,12 @@
 			mc.send(mb.VM, st)
 		}
 	}
+	var forFellows []roster.Summary
+	if mc.roster.IsAggregator(fl.now) {
+		forFellows = own
+	}
 	for _, pr := range mc.roster.Aggregators(fl.now, mc.domain) {
-		send(pr.VM, nil)
+		send(pr.VM, forFellows)
 	}
 	for nr := range members {
 		if members[nr].FailureDomain == mc.domain && direct[members[nr].VM] != nil {
@@ -452,6 +465,10 @@
 		fl.jumpClock()
 		return
 	}
+	if fl.pairCutUntil != nil && fl.rng.IntN(2) == 0 {
+		fl.cutPair()
+		return
+	}
 	until := fl.now.Add(time.Duration(fl.rng.IntN(9000)) * time.Millisecond)
 	mc := fl.vms[fl.rng.IntN(len(fl.vms))]
 	switch fl.rng.IntN(8) {
@@ -492,6 +509,23 @@
 	}
 }
 
+// cutPair cuts the connection between two VMs of a failure domain.
+func (fl *fleet) cutPair() {
+	mc := fl.vms[fl.rng.IntN(len(fl.vms))]
+	ot := fl.vms[fl.rng.IntN(len(fl.vms))]
+	if mc.domain == ot.domain {
+		fl.pairCutUntil[pairOf(mc, ot)] = fl.now.Add(time.Duration(fl.rng.IntN(maxPairCut)) * time.Millisecond)
+	}
+}
+
+// pair is two VMs in the order of their names.
+type pair [2]id.VM
+
+func pairOf(mc, ot *vm) pair { return pair{min(mc.name, ot.name), max(mc.name, ot.name)} }
+
+// maxPairCut is the longest time for which two VMs lose only each other, in milliseconds.
+const maxPairCut = 30_000
+
 // run simulates the given number of steps with random faults. Most requests go to one VM, which changes over time, at
 // several times the rate of the limit.
 func (fl *fleet) run(steps int) {
@@ -558,6 +592,17 @@
 	})
 }
 
+// Guards against two coordinators of a team in a failure domain after two of its VMs have lost only each other: both still reach the
+// store and the other VMs, so neither stops counting.
+func TestFleetKeepsLimitsWithCutPairs(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		fl := newRandomFleet(rt)
+		fl.keepKey, fl.unrunOneIn, fl.pairCutUntil = true, 5, map[pair]time.Time{}
+		fl.run(800)
+		fl.checkLimit(rt)
+	})
+}
+
 // Guards against a team that exceeds its limit without faults, while its load moves between VMs and messages are lost
 // and delayed.
 func TestFleetWithoutFaultsKeepsLimits(t *testing.T) {
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -48,6 +48,9 @@
 	heartbeat uint64
 }
 
+// key returns the key of the process in summaries.
+func (mb *Member) key() Key { return KeyOf(mb.VM, mb.Incarnation) }
+
 // Alive reports whether the VM gave a sign of life within AliveFor.
 func (mb *Member) Alive(now time.Time) bool { return within(now, mb.LastSeen, AliveFor) }
 
@@ -152,12 +155,12 @@
 	if old := rs.members[mb.VM]; old != nil {
 		rs.drop(old)
 	}
-	rs.members[mb.VM], rs.byKey[KeyOf(mb.VM, mb.Incarnation)] = mb, mb
+	rs.members[mb.VM], rs.byKey[mb.key()] = mb, mb
 }
 
 func (rs *Roster) drop(mb *Member) {
 	delete(rs.members, mb.VM)
-	delete(rs.byKey, KeyOf(mb.VM, mb.Incarnation))
+	delete(rs.byKey, mb.key())
 }
 
 // Receive processes a message that arrived at the time now. It ignores the message and returns false if the sender is not
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -254,3 +254,49 @@
 		So(alive(), ShouldBeFalse)
 	})
 }
+
+// If two VMs of a failure domain lose only each other, each is still heard by a third one. Without word of the other, both would count
+// the requests of its teams, and the teams would exceed their limits.
+func TestVMsThatLoseOnlyEachOther(t *testing.T) {
+	Convey("three VMs, of which two don't hear each other", t, func() {
+		now := time.Unix(1_800_000_000, 0)
+		peers := []roster.Peer{peer("a", "x", 10), peer("b", "x", 10), peer("c", "y", 10)}
+		all := map[id.VM]*roster.Roster{}
+		for _, pr := range peers {
+			all[pr.VM] = roster.New(pr)
+			all[pr.VM].SetPeers(now, peers)
+		}
+		sent := int64(0)
+		exchange := func(from, to id.VM) {
+			sent++
+			st := status(from, 1, sent)
+			st.Summaries = append(all[from].UnheardBy(now, to), all[from].Summary(now, &st.Report))
+			all[to].Receive(now, st)
+		}
+		for range 20 {
+			now = now.Add(500 * time.Millisecond)
+			for _, vm := range []id.VM{"a", "b"} {
+				exchange(vm, "c")
+				exchange("c", vm)
+				all[vm].ForgetSilent(now, true)
+			}
+		}
+		Convey("choose the same coordinator", func() {
+			ca, _ := all["a"].Coordinator(now, "x", team)
+			cb, _ := all["b"].Coordinator(now, "x", team)
+			So(ca.VM, ShouldEqual, cb.VM)
+		})
+		Convey("get no summaries of VMs that they hear", func() {
+			exchange("a", "b")
+			exchange("b", "a")
+			now = now.Add(500 * time.Millisecond)
+			exchange("a", "c")
+			So(all["c"].UnheardBy(now, "a"), ShouldBeEmpty)
+		})
+		Convey("get no word of a VM that is gone", func() {
+			now = now.Add(4 * time.Second)
+			exchange("a", "c")
+			So(all["c"].UnheardBy(now, "a"), ShouldBeEmpty)
+		})
+	})
+}
--- a/core/roster/summary.go
+++ b/core/roster/summary.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"damasklatch/core/id"
@@ -15,6 +16,9 @@
 	at time.Time // by this VM's clock
 }
 
+// recent reports whether the summary counts as current.
+func (rv *receivedSummary) recent(now time.Time) bool { return now.Sub(rv.at) < summaryLifetime }
+
 // addSummary stores a summary if it is newer than the stored one of its sender, and updates the VMs that it lists.
 func (rs *Roster) addSummary(now time.Time, aggregator id.VM, sm Summary) {
 	made := now.Add(-max(sm.Age, 0))
@@ -118,7 +122,7 @@
 	var best receivedSummary
 	var from id.VM
 	for name, rv := range all {
-		if now.Sub(rv.at) >= summaryLifetime {
+		if !rv.recent(now) {
 			continue
 		}
 		more := cmp.Or(cmp.Compare(len(rv.sm.Members), len(best.sm.Members)), cmp.Compare(from, name))
@@ -148,7 +152,7 @@
 			continue
 		}
 		age := min(now.Sub(mb.LastReportAt).Milliseconds(), math.MaxUint16)
-		sm.Members = append(sm.Members, Liveness{Key: KeyOf(mb.VM, mb.Incarnation), State: mb.State, Age: uint16(age)})
+		sm.Members = append(sm.Members, Liveness{Key: mb.key(), State: mb.State, Age: uint16(age)})
 		add(&mb.LastReport)
 	}
 	sm.Loads = loadList(rs.loads)
@@ -156,6 +160,58 @@
 	return sm
 }
 
+// UnheardBy returns the recent summaries of a peer's failure domain that tell the peer of VMs which it doesn't hear itself, and which
+// this VM doesn't report to it either. VMs of a failure domain that have lost only each other learn in this way that the other ones still
+// count requests.
+func (rs *Roster) UnheardBy(now time.Time, peer id.VM) []Summary {
+	rs.mu.RLock()
+	defer rs.mu.RUnlock()
+	mb := rs.members[peer]
+	if mb == nil {
+		return nil
+	}
+	received := rs.summaries[mb.FailureDomain]
+	heard := map[Key]bool{}
+	if latest, ok := received[peer]; ok && latest.recent(now) {
+		latest.sm.addKeys(heard)
+	} else if mb.FailureDomain == rs.self.FailureDomain {
+		rs.addDirectKeys(now, heard)
+	} else {
+		return nil
+	}
+	var list []Summary
+	for _, rv := range received {
+		if rv.recent(now) && rv.sm.listsOther(heard) {
+			rv.sm.Age = now.Sub(rv.at)
+			list = append(list, rv.sm)
+		}
+	}
+	slices.SortFunc(list, func(sm, ot Summary) int { return cmp.Compare(sm.Age, ot.Age) })
+	return list
+}
+
+// addDirectKeys adds the keys of this VM and of the VMs of its failure domain that report to it.
+func (rs *Roster) addDirectKeys(now time.Time, keys map[Key]bool) {
+	keys[KeyOf(rs.self.VM, rs.self.Incarnation)] = true
+	for _, mb := range rs.members {
+		if mb.FailureDomain == rs.self.FailureDomain && mb.ReportsDirectly(now) {
+			keys[mb.key()] = true
+		}
+	}
+}
+
+// addKeys adds the keys of the VMs that the summary lists.
+func (sm *Summary) addKeys(keys map[Key]bool) {
+	for _, lv := range sm.Members {
+		keys[lv.Key] = true
+	}
+}
+
+// listsOther reports whether the summary lists a VM that is not among the given ones.
+func (sm *Summary) listsOther(keys map[Key]bool) bool {
+	return slices.ContainsFunc(sm.Members, func(lv Liveness) bool { return !keys[lv.Key] })
+}
+
 // Summaries returns the most complete recent summary of each of the other failure domains, with its present age.
 func (rs *Roster) Summaries(now time.Time) []Summary {
 	rs.mu.RLock()
--- a/io/gateway/reports.go
+++ b/io/gateway/reports.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"damasklatch/core/id"
@@ -8,8 +9,8 @@
 )
 
 // sendReports sends this VM's report to the aggregators of its failure domain. VMs of the failure domain that report to this
-// VM get the summaries of all failure domains. If this VM is an aggregator, the aggregators of the other failure domains get
-// the summary of its own.
+// VM get the summaries of all failure domains. If this VM is an aggregator, the other aggregators get the summary of its own failure
+// domain. A VM that doesn't hear another one of its failure domain gets that one's summary from all that hear both.
 func (ct *Controller) sendReports(now time.Time, members []roster.Member) {
 	st := &roster.Status{Report: ct.report(now)}
 	ct.Roster.RecordLoads(st.Report.Loads)
@@ -27,16 +28,18 @@
 	for _, pr := range outdated {
 		sd.sendIncarnation(pr)
 	}
-	aggregators := ct.Roster.Aggregators(now, ct.self.FailureDomain)
-	for _, pr := range aggregators {
-		sd.send(pr, nil)
-	}
-	var own, all []roster.Summary
+	var own, all, forAggregators []roster.Summary
 	if !now.Before(ct.nextSummary) {
-		ct.nextSummary = now.Add(summaryInterval)
+		ct.nextSummary, sd.summariesAt = now.Add(summaryInterval), now
 		own = []roster.Summary{ct.Roster.Summary(now, &st.Report)}
 		all = append(ct.Roster.Summaries(now), own...)
 	}
+	if ct.Roster.IsAggregator(now) {
+		forAggregators = own
+	}
+	for _, pr := range ct.Roster.Aggregators(now, ct.self.FailureDomain) {
+		sd.send(pr, forAggregators)
+	}
 	for _, mb := range direct {
 		if mb.FailureDomain == ct.self.FailureDomain {
 			sd.send(mb.Peer, all)
@@ -64,6 +67,8 @@
 	st     *roster.Status
 	direct map[id.VM]*roster.Member // VMs that report to this one directly
 	sent   map[id.VM]bool           // VMs that already have the report
+	// summariesAt is the time of the report if it carries summaries.
+	summariesAt time.Time
 }
 
 // send sends the report with the given summaries. It adds the echo of the last report of the receiver, by which the receiver
@@ -78,6 +83,9 @@
 	if mb := sd.direct[pr.VM]; mb != nil {
 		rp.Echo, rp.EchoOf = mb.LastReport.Sent, mb.LastReport.Incarnation
 	}
+	if !sd.summariesAt.IsZero() {
+		summaries = slices.Concat(summaries, sd.ct.Roster.UnheardBy(sd.summariesAt, pr.VM))
+	}
 	sd.deliver(pr, summaries)
 }
 
