Try silent VMs as aggregators in an order that doesn't depend on the time of day

Cause: the VM to try was chosen by now.Unix(). A clock that stands still or jumps back and forth would try the same VM again.

Change: the order follows the time since the first list of peers. Observers may try different VMs, which finds one that runs sooner.

TestSilentVMsAreTriedAtAnyTimeOfDay fails before: 'Expected: "c "', another VM for another time of day.

--- a/core/roster/aggregator.go
+++ b/core/roster/aggregator.go
@@ -9,8 +9,8 @@
 )
 
 // Aggregators returns the aggregators of a failure domain: the VMs with the fastest network links among those that are alive or
-// newly registered. If there are too few of them, a VM that fell silent is added. All VMs with the same view of the fleet choose
-// the same aggregators.
+// newly registered. VMs with the same view of the fleet choose the same ones. If there are too few of them, a VM that fell silent is
+// added.
 func (rs *Roster) Aggregators(now time.Time, fd id.FailureDomain) []Peer {
 	rs.mu.RLock()
 	defer rs.mu.RUnlock()
@@ -35,9 +35,11 @@
 	if len(candidates) >= aggregatorsPerDomain || len(silent) == 0 {
 		return candidates[:min(len(candidates), aggregatorsPerDomain)]
 	}
-	// There are too few candidates. Each second another silent VM is tried, in case it is running again.
+	// There are too few candidates. Each second another silent VM is tried, in case it is running again. It need not be the one that other
+	// VMs try.
 	slices.SortFunc(silent, compareSpeed)
-	return append(candidates, silent[int(now.Unix())%len(silent)])
+	turn := int(max(now.Sub(rs.peersSince), 0) / time.Second)
+	return append(candidates, silent[turn%len(silent)])
 }
 
 // compareSpeed orders the fastest link first, and VMs with equal links by name.
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -81,6 +81,7 @@
 	leaving   bool
 	// connectedSince is the time since which this VM has been able to receive signs of life of the others.
 	connectedSince time.Time
+	peersSince     time.Time // when the first list of peers was set
 }
 
 // New returns an empty roster of the VM self.
@@ -115,6 +116,9 @@
 func (rs *Roster) SetPeers(now time.Time, peers []Peer) {
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
+	if rs.peersSince.IsZero() {
+		rs.peersSince = now
+	}
 	listed := map[id.VM]bool{}
 	for _, pr := range peers {
 		if pr.VM == rs.self.VM {
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -188,6 +188,18 @@
 	})
 }
 
+// The order in which silent VMs are tried must not depend on the time of day, which may jump or stand still.
+func TestSilentVMsAreTriedAtAnyTimeOfDay(t *testing.T) {
+	Convey("rosters that were started at different times of day try the same VM after the same time", t, func() {
+		for nr := range 5 {
+			now := time.Unix(1_800_000_000+int64(nr), 0)
+			rs := roster.New(peer("a", "x", 10))
+			rs.SetPeers(now, []roster.Peer{peer("b", "y", 10), peer("c", "y", 10), peer("d", "y", 10)})
+			So(names(rs.Aggregators(now.Add(10*time.Second), "y")), ShouldEqual, "c ")
+		}
+	})
+}
+
 // A failure domain without a working aggregator is cut off from the others although its VMs run.
 func TestAggregators(t *testing.T) {
 	Convey("a failure domain of four other VMs", t, func() {
