Bound the history of a mirror by bytes

What an operator saw: memory of a VM that grows by up to 512 times the size of the configuration, if it is changed often.

Cause: the history of a mirror kept the last 512 changes whatever their size, each with the whole object.

TestHistoryOfOneLargeObjectIsBounded and TestHistoryOfRemovedObjectsIsBounded fail before: "the mirror holds 255 MB, at most 64 MB are allowed" after 512 changes of 512 KB each.

--- a/io/objects/mirror.go
+++ b/io/objects/mirror.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -14,8 +15,11 @@
 // ErrMirrorStale means that a mirror does not answer, because it may be far behind the store.
 var ErrMirrorStale = errors.New("the mirror does not follow the store")
 
-// maxHistory is the number of changes of each kind that a mirror keeps. A watch from an older revision gets ErrHistoryLost.
-const maxHistory = 512
+// Limits of the history of each kind that a mirror keeps. A watch from an older revision gets ErrHistoryLost.
+const (
+	maxHistory      = 512     // number of changes
+	maxRemovedBytes = 8 << 20 // size of the removed objects; the others share their memory with the snapshot
+)
 
 // Mirror is a Reader that serves the objects known to informers. Other VMs read from it, because the store
 // limits the number of calls. It is safe for concurrent use.
@@ -127,20 +131,57 @@
 		changes = difference(mk.objects, sn.Objects)
 		mk.addGap(sn.Revision)
 	}
-	for _, ch := range changes {
-		mk.history = append(mk.history, historyEntry{ch, sn.Revision})
-	}
 	mk.objects, mk.revision = sn.Objects, max(mk.revision, sn.Revision)
-	if over := len(mk.history) - maxHistory; over > 0 {
-		mk.completeFrom = max(mk.completeFrom, mk.history[over-1].revision)
-		mk.history = append([]historyEntry(nil), mk.history[over:]...)
-	}
+	mk.addChanges(changes, sn.Revision)
 	if len(changes) > 0 {
 		close(mk.changed)
 		mk.changed = make(chan struct{})
 	}
 }
 
+// addChanges adds changes to the history. Of each object it keeps only the last one, because watches return no others.
+func (mk *mirroredKind) addChanges(changes []Change, rev Revision) {
+	all := slices.Clone(mk.history)
+	for _, ch := range changes {
+		all = append(all, historyEntry{ch, rev})
+	}
+	all = latestOf(all)
+	if over := excess(all); over > 0 {
+		mk.completeFrom = max(mk.completeFrom, all[over-1].revision)
+		all = slices.Clone(all[over:])
+	}
+	mk.history = all
+}
+
+// latestOf returns the last entry of each object, in the same order.
+func latestOf(history []historyEntry) []historyEntry {
+	last := make(map[string]int, len(history))
+	for nr, en := range history {
+		last[en.change.Object.Name] = nr
+	}
+	kept := make([]historyEntry, 0, len(last))
+	for nr, en := range history {
+		if last[en.change.Object.Name] == nr {
+			kept = append(kept, en)
+		}
+	}
+	return kept
+}
+
+// excess returns the number of the oldest entries beyond the limits of the history.
+func excess(history []historyEntry) int {
+	removed := 0
+	for nr := len(history) - 1; nr >= max(len(history)-maxHistory, 0); nr-- {
+		if ch := history[nr].change; ch.Removed {
+			removed += len(ch.Object.Name) + len(ch.Object.Spec)
+		}
+		if removed > maxRemovedBytes {
+			return nr + 1
+		}
+	}
+	return max(len(history)-maxHistory, 0)
+}
+
 // difference returns the changes that turn the objects of one snapshot into those of a later one.
 func difference(before, after map[string]Object) []Change {
 	var changes []Change
@@ -238,22 +279,16 @@
 		return Update{}, nil, 0, ErrHistoryLost
 	}
 	up = Update{Revision: max(mk.revision, after), Relayed: true, Copy: &Copy{Age: mr.age(mk), Hops: mk.hops}}
-	up.Changes = latestChanges(mk.history, after)
+	up.Changes = changesAfter(mk.history, after)
 	return up, mk.changed, stale, nil
 }
 
-// latestChanges returns the last change of each object after a revision, in the order of the history.
-func latestChanges(history []historyEntry, after Revision) []Change {
+// changesAfter returns the changes of a history after a revision.
+func changesAfter(history []historyEntry, after Revision) []Change {
 	from := sort.Search(len(history), func(nr int) bool { return history[nr].revision > after })
-	last := make(map[string]int, len(history)-from)
-	for nr, sn := range history[from:] {
-		last[sn.change.Object.Name] = from + nr
-	}
-	changes := make([]Change, 0, len(last))
-	for nr, sn := range history[from:] {
-		if last[sn.change.Object.Name] == from+nr {
-			changes = append(changes, sn.change)
-		}
+	changes := make([]Change, 0, len(history)-from)
+	for _, en := range history[from:] {
+		changes = append(changes, en.change)
 	}
 	return changes
 }
