Count the absence of an entry's VM by the observer's clock

What could happen: a VM whose clock is behind by more than a minute starts, gets an entry of the ownership record, and another VM of its failure domain takes the entry over at once, because the platform's list, which lags, does not contain the VM yet: both own the fraction until the new VM reads the record again, up to 45 s later. The entry of a VM whose clock was ahead was not taken over until that time had come.

Cause: the age of a process was the time of day minus its incarnation, two clocks of two VMs.

Change: the age of an entry counts from when this process first saw it in the record. Nothing changes for entries that are known for a minute.

TestWrongClocksDoNotMoveEntries fails before: "vm0 owns 333332 ppm after the start of vm1, want 166666" (behind) and "vm0 owns 166666 ppm after vm1 has gone, want more than 166666" (ahead).

--- a/io/daemon/owner.go
+++ b/io/daemon/owner.go
@@ -21,8 +21,8 @@
 const (
 	joinInterval  = time.Second
 	checkInterval = 30 * time.Second
-	// unlistedAfter is the minimum age of a VM that counts as gone because the platform's list does not contain it. The
-	// list is updated with a delay, so a VM that has just started may be missing from it.
+	// unlistedAfter is the time for which an entry must have been known before its VM counts as gone because the platform's list
+	// does not contain it. The list is updated with a delay, so a VM that has just started may be missing from it.
 	unlistedAfter = time.Minute
 )
 
@@ -37,17 +37,20 @@
 	log        *slog.Logger
 
 	split    *limit.Split
-	inUse    unit.PPM             // fraction that the ledger may use now
-	granted  unit.PPM             // fraction in the VM's entry of the record
-	usableAt time.Time            // when inUse becomes granted
-	reported limit.OwnedFractions // fractions last reported to the control goroutine
+	inUse    unit.PPM  // fraction that the ledger may use now
+	granted  unit.PPM  // fraction in the VM's entry of the record
+	usableAt time.Time // when inUse becomes granted
+	// knownSince tells when this process first saw the entries of the record. Start times of other processes are not comparable,
+	// because the clock of their VM may be wrong.
+	knownSince map[id.VMIncarnation]time.Time
+	reported   limit.OwnedFractions // fractions last reported to the control goroutine
 }
 
 // NewOwnershipManager returns the ownership manager of this VM. This process must have bound the peer address before the
 // manager runs: that proves that earlier processes at the address are gone.
 func NewOwnershipManager(st store.Store, ct *Controller, log *slog.Logger) *OwnershipManager {
 	return &OwnershipManager{
-		st: st, ct: ct, domain: ct.Self.FailureDomain, reuseAfter: reuseAfter, log: log,
+		st: st, ct: ct, domain: ct.Self.FailureDomain, reuseAfter: reuseAfter, log: log, knownSince: map[id.VMIncarnation]time.Time{},
 		self: limit.Entry{VM: ct.Self.ID.VM, Incarnation: ct.Self.ID.Incarnation, PeerAddress: ct.Self.PeerAddress},
 	}
 }
@@ -102,6 +105,7 @@
 		if err != nil {
 			return nil, err
 		}
+		ow.noteEntries(time.Now(), rc)
 		next, over := rc.Join(ow.self, ow.split.JoinFraction(cfg, ow.domain), proof)
 		if reclaimed, more := next.Reclaim(ow.self.ID(), proof.Gone); more {
 			next, over = reclaimed, true
@@ -120,6 +124,18 @@
 	return nil
 }
 
+// noteEntries updates knownSince.
+func (ow *OwnershipManager) noteEntries(now time.Time, rc *limit.Record) {
+	since := make(map[id.VMIncarnation]time.Time, len(rc.Entries))
+	for _, en := range rc.Entries {
+		since[en.ID()] = now
+		if at, ok := ow.knownSince[en.ID()]; ok {
+			since[en.ID()] = at
+		}
+	}
+	ow.knownSince = since
+}
+
 // reuseAfter returns how long loans granted by the previous owner of an entry may stay in use. The previous owner may
 // have granted them under a configuration with the default loan duration, so the longer of both durations applies.
 func reuseAfter(cfg *config.Effective) time.Duration {
@@ -174,8 +190,8 @@
 	}
 	now := time.Now()
 	return func(en limit.Entry) bool {
-		started := time.Unix(0, int64(en.Incarnation))
-		return len(vms) > 0 && !listed[en.PeerAddress] && now.Sub(started) > unlistedAfter
+		since, known := ow.knownSince[en.ID()]
+		return len(vms) > 0 && !listed[en.PeerAddress] && known && now.Sub(since) > unlistedAfter
 	}
 }
 
--- a/io/daemon/owner_test.go
+++ b/io/daemon/owner_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"damasklatch/core/config"
@@ -54,9 +55,12 @@
 func vmName(nr int) id.VM { return id.VM(fmt.Sprint("vm", nr)) }
 
 // startProcess starts a process of a VM. Its previous process has ended, because only one process can bind the address.
-func (ow *ownershipSim) startProcess(vm id.VM) {
+func (ow *ownershipSim) startProcess(vm id.VM) { ow.startProcessAt(vm, time.Now()) }
+
+// startProcessAt starts a process of a VM whose clock shows the given time.
+func (ow *ownershipSim) startProcessAt(vm id.VM, clock time.Time) {
 	self := membership.Entry{
-		ID:            id.VMIncarnation{VM: vm, Incarnation: id.Incarnation(time.Now().UnixNano())},
+		ID:            id.VMIncarnation{VM: vm, Incarnation: id.Incarnation(clock.UnixNano())},
 		FailureDomain: "a", PeerAddress: string(vm) + ":1", CallerAddress: string(vm) + ":2",
 	}
 	ct := NewController(Options{Self: self})
@@ -157,6 +161,37 @@
 	})
 }
 
+// Guards against a VM that takes over the entry of one that has just started and is not yet on the platform's list, and against entries
+// that are never taken over, because the clock of the other VM is wrong.
+func TestWrongClocksDoNotMoveEntries(t *testing.T) {
+	for name, offset := range map[string]time.Duration{"behind": -time.Hour, "right": 0, "ahead": time.Hour} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ow := newOwnershipSim(nil, limit.Settings{}.ReuseAfter())
+				ow.startProcess("vm0")
+				ow.step("vm0")
+				ow.startProcessAt("vm1", time.Now().Add(offset))
+				ow.st.VMList().Remove("vm1")
+				ow.step("vm1")
+				if ow.owners["vm1"].granted == 0 {
+					t.Fatal("vm1 got no entry")
+				}
+				before := ow.owners["vm0"].granted
+				ow.step("vm0")
+				if got := ow.owners["vm0"].granted; got != before {
+					t.Errorf("vm0 owns %d ppm after the start of vm1, want %d", got, before)
+				}
+				ow.killProcess("vm1")
+				time.Sleep(2 * unlistedAfter)
+				ow.step("vm0")
+				if got := ow.owners["vm0"].granted; got <= before {
+					t.Errorf("vm0 owns %d ppm after vm1 has gone, want more than %d", got, before)
+				}
+			})
+		})
+	}
+}
+
 // Guards against fractions that stay unused: while the store is available, the whole fraction of the failure domain must
 // be in use within 15 s of a restart and lost responses.
 func TestOwnersUseWholeDomain(t *testing.T) {
