Respond 408 to a request whose body did not arrive in time

Such a request got no response: net/http cancels the context of a request for each failed read, also for one that has reached its deadline, so the gateway took the caller for gone and closed the connection (status 499 in the log).

408 is true here: the body is read before the first attempt, up to 512 KiB, and if that fails, no byte of the request has been sent. A body that breaks off after an attempt has begun is another case and gets 502 or 504 as before. The log has the reason body_not_received and the loss caller_slow.

--- a/io/gateway/forward.go
+++ b/io/gateway/forward.go
@@ -150,7 +150,8 @@
 
 // refuse writes a refusal, or closes the connection if the caller has gone away.
 func (rq *request) refuse(rf *refusal) {
-	if rq.r.Context().Err() != nil {
+	// net/http cancels the context for every failed read, also for one that has reached its deadline.
+	if rq.r.Context().Err() != nil && rf.reason != reasonBodyLate {
 		rq.logEnd(statusClientClosed, rf.reason)
 		panic(http.ErrAbortHandler)
 	}
--- a/io/gateway/loss.go
+++ b/io/gateway/loss.go
@@ -20,6 +20,7 @@
 	lossTargetFailed Loss = "target_failed"       // targets refused the request, failed it or could not be reached
 	lossTimeout      Loss = "timeout"             // no target responded within the timeout
 	lossCallerLeft   Loss = "caller_left"         // the caller closed the connection
+	lossCallerSlow   Loss = "caller_slow"         // the caller did not send the body within the timeout
 	lossRetried      Loss = "late_retried"        // late, after more than one attempt
 	lossColdTarget   Loss = "late_cold_target"    // late, at a target that had started recently
 	lossUnknown      Loss = "late_unknown_object" // late, at a target that did not know the object
@@ -29,7 +30,7 @@
 
 // allLosses lists every Loss.
 var allLosses = []Loss{
-	lossLimit, lossFull, lossNoTarget, lossNoLease, lossStarting, lossTargetFailed, lossTimeout, lossCallerLeft,
+	lossLimit, lossFull, lossNoTarget, lossNoLease, lossStarting, lossTargetFailed, lossTimeout, lossCallerLeft, lossCallerSlow,
 	lossRetried, lossColdTarget, lossUnknown, lossWaited, lossSlow,
 }
 
@@ -38,6 +39,7 @@
 	reasonRate: lossLimit, reasonFull: lossFull, reasonNoTarget: lossNoTarget, reasonStale: lossNoLease,
 	reasonNoConfig: lossStarting, reasonRefused: lossTargetFailed, reasonUnreached: lossTargetFailed,
 	reasonLost: lossTargetFailed, reasonUnstated: lossTargetFailed, reasonNotSent: lossTargetFailed, reasonTimeout: lossTimeout,
+	reasonBodyLate: lossCallerSlow,
 }
 
 // lossOf returns the loss of a request that ended with the given status and reason. The attempts include the last one, for which
--- a/io/gateway/refusal.go
+++ b/io/gateway/refusal.go
@@ -19,6 +19,7 @@
 	reasonBadRequest  Reason = "bad_request"
 	reasonHeaderLarge Reason = "header_too_large"
 	reasonBodyLarge   Reason = "body_too_large"
+	reasonBodyLate    Reason = "body_not_received" // in time; no byte of the request was sent to a target
 	reasonNoConfig    Reason = "no_configuration"
 	reasonStale       Reason = "stale_configuration"
 	reasonRate        Reason = "rate"
@@ -36,7 +37,7 @@
 var statuses = map[Reason]int{
 	reasonNoRoute: http.StatusNotFound, reasonNoKey: http.StatusUnauthorized, reasonUnknownKey: http.StatusUnauthorized,
 	reasonBadRequest: http.StatusBadRequest, reasonHeaderLarge: http.StatusRequestHeaderFieldsTooLarge,
-	reasonBodyLarge: http.StatusRequestEntityTooLarge, reasonNoConfig: http.StatusServiceUnavailable,
+	reasonBodyLarge: http.StatusRequestEntityTooLarge, reasonBodyLate: http.StatusRequestTimeout, reasonNoConfig: http.StatusServiceUnavailable,
 	reasonStale: http.StatusServiceUnavailable, reasonRate: http.StatusTooManyRequests,
 	reasonNoTarget: http.StatusServiceUnavailable, reasonFull: http.StatusServiceUnavailable,
 	reasonRefused: http.StatusServiceUnavailable, reasonUnreached: http.StatusServiceUnavailable,
--- a/io/gateway/request.go
+++ b/io/gateway/request.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -230,6 +231,9 @@
 	switch {
 	case errors.As(err, &large):
 		return &refusal{reason: reasonBodyLarge}
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		rq.rw.Header()["Connection"] = []string{"close"}
+		return &refusal{reason: reasonBodyLate}
 	case err != nil:
 		rq.rw.Header()["Connection"] = []string{"close"}
 		return &refusal{reason: reasonBadRequest}
