Run TestLinkWaitIsNotStall on a fake clock

The test failed once beside load 57: "/book/1: got 200 done unexpected EOF", 5270 bytes of the response. Its window of 200 ms is a bound on wall-clock time: each part of a response must be written within 150 to 200 ms after its deadline was set. A process that doesn't get a processor for so long between these two steps ends the response. The product uses a window of 15 s, and does not promise that a response survives a process that is stopped for most of it.

The test now runs over connections within the process in a synctest bubble, with the same body, rate and window, so that the machine has no part in its times. It also checks that the bodies wait for the link.

--- a/io/entry/link_test.go
+++ b/io/entry/link_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -21,6 +22,7 @@
 	"damasklatch/core/limit"
 	"damasklatch/core/unit"
 	"damasklatch/io/entry"
+	"damasklatch/io/inbound"
 	"damasklatch/io/target"
 )
 
@@ -78,15 +80,22 @@
 
 // newLinkRig returns a linkRig whose server is in the region north and owns the fraction ppm of the links.
 func newLinkRig(t *testing.T, ppm unit.PPM) *linkRig {
+	return newLinkRigWith(t, ppm, func(*entry.Options) {})
+}
+
+// newLinkRigWith is like newLinkRig, but change modifies the options of the server.
+func newLinkRigWith(t *testing.T, ppm unit.PPM, change func(*entry.Options)) *linkRig {
 	lr := &linkRig{rig: &rig{t: t, signer: dedup.NewSigner([]byte("fleet")), cfg: testConfig()}}
 	addLinks(lr.cfg, linkRate)
 	lr.cfg.Sites[0].Targets = []config.Target{testTarget()}
 	start := time.Now()
 	lg := linkLedger(lr.cfg, ppm)
 	lr.up.budget, lr.down.budget, lr.up.last, lr.down.last = linkBurst, linkBurst, time.Now(), time.Now()
-	lr.sv = entry.New(entry.Options{
+	op := entry.Options{
 		Self: self, FailureDomain: "north-a", Signer: lr.signer, Table: dedup.NewTable(self, 100), Limits: lg, Targets: lr,
-	})
+	}
+	change(&op)
+	lr.sv = entry.New(op)
 	lr.state = entry.State{Config: lr.cfg, Ring: keyring.New(lr.cfg.Keys), Ready: true, KeysFreshUntil: start.Add(time.Hour)}
 	lr.set(func(*entry.State) {})
 	return lr
@@ -259,27 +268,89 @@
 // Guards against treating the wait for a link as a caller that has stopped sending or reading. A caller must send 4 KiB
 // within a progress window, but at the rate of this link they take two windows.
 func TestLinkWaitIsNotStall(t *testing.T) {
-	var lg *limit.Ledger
-	rg := newRigWith(t, func(op *entry.Options) {
-		op.ProgressWindow = 200 * time.Millisecond
-		op.Limits = limitsFunc(func() *limit.Ledger { return lg })
-	}, echo)
-	addLinks(rg.cfg, 10_000)
-	lg = linkLedger(rg.cfg, unit.Whole)
-	rg.set(func(*entry.State) {})
-	body := strings.Repeat("0123456789", 600)
-	for _, path := range []string{"/book/1", "/read/1"} {
-		tk := rg.ticket(func(tk *dedup.Ticket) { tk.HomeSite = "south-a" })
-		rp := rg.call(http.MethodPost, path, strings.NewReader(body), withTicket(tk))
-		rg.want(path, rp, 200, "done", "")
-		if !strings.HasSuffix(rp.body, " "+body) {
-			t.Errorf("%s: response has %d bytes", path, len(rp.body))
+	synctest.Test(t, func(t *testing.T) {
+		slow := testConfig()
+		addLinks(slow, 10_000)
+		slow.Sites[0].Targets = []config.Target{testTarget()}
+		lr := newLinkRigWith(t, unit.Whole, func(op *entry.Options) {
+			op.ProgressWindow, op.Limits = 200*time.Millisecond, linkLedger(slow, unit.Whole)
+		})
+		lr.servePipes()
+		body := strings.Repeat("0123456789", 600)
+		for nr, path := range []string{"/book/1", "/read/1"} {
+			began := time.Now()
+			tk := lr.ticket(func(tk *dedup.Ticket) { tk.HomeSite, tk.Request = "south-a", id.Request(fmt.Sprintf("%032x", nr)) })
+			rp := lr.call(http.MethodPost, path, strings.NewReader(body), withTicket(tk))
+			lr.want(path, rp, 200, "done", "")
+			if rp.body != body {
+				t.Errorf("%s: response has %d bytes", path, len(rp.body))
+			}
+			if took := time.Since(began); took < 800*time.Millisecond {
+				t.Errorf("%s: the bodies waited for the link for %s only", path, took)
+			}
 		}
+	})
+}
+
+// servePipes serves the server of the rig on connections within the process, whose deadlines use the fake clock.
+func (lr *linkRig) servePipes() {
+	ln := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+	hs := lr.sv.HTTPServer()
+	sr := &pipeServer{hs, ln, make(chan struct{})}
+	go sr.run()
+	tr := &http.Transport{DisableCompression: true, DialContext: ln.dial}
+	lr.client, lr.url = &http.Client{Transport: tr}, "http://vm"
+	lr.t.Cleanup(func() {
+		tr.CloseIdleConnections()
+		hs.Close()
+		<-sr.ended
+	})
+}
+
+// pipeServer is a server that runs until it is closed.
+type pipeServer struct {
+	*http.Server
+	ln    net.Listener
+	ended chan struct{}
+}
+
+func (sr *pipeServer) run() {
+	defer close(sr.ended)
+	_ = sr.Serve(inbound.NewListener(sr.ln))
+}
+
+// pipeListener is a listener for connections within the process.
+type pipeListener struct {
+	conns  chan net.Conn
+	once   sync.Once
+	closed chan struct{}
+}
+
+func (pl *pipeListener) dial(context.Context, string, string) (net.Conn, error) {
+	caller, server := net.Pipe()
+	select {
+	case pl.conns <- server:
+		return caller, nil
+	case <-pl.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Accept implements net.Listener.
+func (pl *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case cn := <-pl.conns:
+		return cn, nil
+	case <-pl.closed:
+		return nil, net.ErrClosed
 	}
 }
 
-// limitsFunc implements entry.Limits with the ledger that the function returns.
-type limitsFunc func() *limit.Ledger
+// Close implements net.Listener.
+func (pl *pipeListener) Close() error {
+	pl.once.Do(func() { close(pl.closed) })
+	return nil
+}
 
-func (lf limitsFunc) Bucket(rs id.Resource) (*limit.Bucket, bool) { return lf().Bucket(rs) }
-func (lf limitsFunc) Slots(rs id.Resource) (*limit.Slots, bool)   { return lf().Slots(rs) }
+// Addr implements net.Listener.
+func (pl *pipeListener) Addr() net.Addr { return new(net.TCPAddr) }
