Bound the wait for the body of a refused request

A caller whose request was refused, for its key, its rate or a full region, and who had not sent the whole body yet, got no response until it did, and its connection was kept for as long: net/http reads up to 256 KiB of the rest before it writes a response, without a time limit. The rest of the body has the time limit of the request now, or ten seconds if the route is not known.

TestRefusalBeforeBody failed before (no response within 10 s); it and TestBodyNotReceivedInTime pass with the race detector, twice each.

--- a/io/gateway/forward.go
+++ b/io/gateway/forward.go
@@ -156,9 +156,24 @@
 		panic(http.ErrAbortHandler)
 	}
 	rq.announceClose()
+	rq.limitBodyTime()
 	rq.logEnd(rf.write(rq.rw), rf.reason)
 }
 
+// limitBodyTime limits the time for the rest of the body. net/http reads up to 256 KiB of it before it writes a refusal, and a caller
+// that stops sending must not hold up the response and its connection for ever.
+func (rq *request) limitBodyTime() {
+	if rq.r.ContentLength == 0 {
+		return
+	}
+	limit := headerTimeout
+	if rq.route != nil {
+		limit = rq.timeLimit()
+	}
+	// Setting the deadline fails only for the response writers of tests.
+	_ = http.NewResponseController(rq.rw).SetReadDeadline(rq.started.Add(limit))
+}
+
 // statusClientClosed is logged as the status if the caller has closed the connection.
 const statusClientClosed = 499
 
