--- a/io/gateway/forward.go
+++ b/io/gateway/forward.go
@@ -154,14 +154,30 @@
 
 // refuse writes a refusal, or closes the connection if the caller has gone away.
 func (rq *request) refuse(rf *refusal) {
-	if rq.r.Context().Err() != nil {
+	// net/http cancels the context for every failed read, also for one that has reached its deadline.
+	if rq.r.Context().Err() != nil && rf.reason != reasonBodyLate {
 		rq.logEnd(statusClientClosed, rf.reason)
 		panic(http.ErrAbortHandler)
 	}
 	rq.announceClose()
+	rq.limitBodyTime()
 	rq.logEnd(rf.write(rq.rw), rf.reason)
 }
 
+// limitBodyTime limits the time for the rest of the body. net/http reads up to 256 KiB of it before it writes a refusal, and a caller
+// that stops sending must not hold up the response and its connection for ever.
+func (rq *request) limitBodyTime() {
+	if rq.r.ContentLength == 0 {
+		return
+	}
+	limit := headerTimeout
+	if rq.route != nil {
+		limit = rq.timeLimit()
+	}
+	// Setting the deadline fails only for the response writers of tests.
+	_ = http.NewResponseController(rq.rw).SetReadDeadline(rq.started.Add(limit))
+}
+
 // statusClientClosed is logged as the status if the caller has closed the connection.
 const statusClientClosed = 499
 
