Roster: consider a VM that is heard but not registered as coordinator

A team exceeded its limit because two VMs of a failure domain counted its requests. A VM drops reports of VMs whose registration it doesn't know, so it kept itself as coordinator until its lease ended after 5 s.

A VM now remembers for 2 s that it hears a VM without a known registration, and considers it for its own failure domain. If that VM is preferred, this one stops counting and borrows. The other VM may belong to another failure domain; this lasts until its registration arrives. A VM that is leaving is not considered.

TestUnregisteredCoordinator fails on the code before: "Expected: id.VM("b2"), Actual: id.VM("a")".

--- a/core/roster/coordinator.go
+++ b/core/roster/coordinator.go
@@ -60,8 +60,10 @@
 
 // Coordinator returns the VM that counts the requests of a team in a failure domain, and whether that VM is alive. VMs with the
 // same view of the fleet choose the same coordinator, by rendezvous hashing. A silent VM stays coordinator for ForgetAfter: it
-// may still be counting, and two coordinators would let the team exceed its limit. A VM that is shutting down is not chosen. If
-// the failure domain has no VM to choose, the returned Peer is zero and alive is false.
+// may still be counting, and two coordinators would let the team exceed its limit. For the same reason a VM whose registration is not
+// known is considered for the own failure domain while it is heard. It may belong to another one, but only for as long as this VM lacks
+// changes of the store. A VM that is shutting down is not chosen. If the failure domain has no VM to choose, the returned Peer is zero
+// and alive is false.
 func (rs *Roster) Coordinator(now time.Time, fd id.FailureDomain, team id.Team) (coordinator Peer, alive bool) {
 	rs.mu.RLock()
 	defer rs.mu.RUnlock()
@@ -79,6 +81,11 @@
 	if fd == rs.self.FailureDomain && !rs.leaving {
 		consider(rs.self, true)
 	}
+	for name, at := range rs.unregistered {
+		if fd == rs.self.FailureDomain && within(now, at, AliveFor) {
+			consider(Peer{VM: name, FailureDomain: fd}, false)
+		}
+	}
 	for _, mb := range rs.members {
 		if mb.FailureDomain == fd && !mb.expired && !mb.State.Has(Leaving) {
 			consider(mb.Peer, mb.Alive(now))
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -76,6 +76,9 @@
 	summaries map[id.FailureDomain]map[id.VM]receivedSummary
 	loads     map[uint32]uint16 // by target, collected since the last summary
 	leaving   bool
+	// unregistered holds the VMs whose registration this VM does not know, and when each was last heard and not leaving. A VM that is cut
+	// off from the store does not get the registrations of VMs that started later.
+	unregistered map[id.VM]time.Time
 	// connectedSince is the time since which this VM has been able to receive signs of life of the others.
 	connectedSince time.Time
 }
@@ -84,7 +87,7 @@
 func New(self Peer) *Roster {
 	return &Roster{
 		self: self, members: map[id.VM]*Member{}, byKey: map[Key]*Member{},
-		summaries: map[id.FailureDomain]map[id.VM]receivedSummary{}, loads: map[uint32]uint16{},
+		summaries: map[id.FailureDomain]map[id.VM]receivedSummary{}, loads: map[uint32]uint16{}, unregistered: map[id.VM]time.Time{},
 	}
 }
 
@@ -119,6 +122,7 @@
 			continue
 		}
 		listed[pr.VM] = true
+		delete(rs.unregistered, pr.VM)
 		mb := rs.members[pr.VM]
 		switch {
 		case mb == nil || pr.Incarnation > mb.Incarnation:
@@ -180,6 +184,9 @@
 		mb = &Member{Peer: pr, LastRegistered: now, FirstRegistered: now}
 		rs.put(mb)
 	}
+	if mb == nil && rp.VM != rs.self.VM {
+		rs.noteUnregistered(now, rp)
+	}
 	if mb == nil || rp.Incarnation != mb.Incarnation || rp.Sent <= mb.LastReport.Sent {
 		return false
 	}
@@ -191,6 +198,20 @@
 	return true
 }
 
+// noteUnregistered records a report of a VM whose registration is not known, and forgets those that were not heard for AliveFor.
+func (rs *Roster) noteUnregistered(now time.Time, rp *Report) {
+	for name, at := range rs.unregistered {
+		if !within(now, at, AliveFor) {
+			delete(rs.unregistered, name)
+		}
+	}
+	if rp.State.Has(Leaving) {
+		delete(rs.unregistered, rp.VM)
+		return
+	}
+	rs.unregistered[rp.VM] = now
+}
+
 // Members returns copies of all entries, in no particular order.
 func (rs *Roster) Members() []Member {
 	rs.mu.RLock()
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -111,6 +111,50 @@
 	})
 }
 
+// A VM that is cut off from the store before another VM of its failure domain has registered doesn't know that VM. If both count, the team
+// exceeds its limit.
+func TestUnregisteredCoordinator(t *testing.T) {
+	Convey("a VM that hears from a VM whose registration it does not know", t, func() {
+		now := time.Unix(1_800_000_000, 0)
+		rs := roster.New(peer("a", "x", 10))
+		rs.SetPeers(now, []roster.Peer{peer("a", "x", 10), peer("other", "y", 10)})
+		preferred, nr := id.VM(""), 0
+		for ; preferred == ""; nr++ { // find a name that is preferred to "a"
+			all := roster.New(peer("a", "x", 10))
+			all.SetPeers(now, []roster.Peer{peer("a", "x", 10), peer(id.VM(fmt.Sprint("b", nr)), "x", 10)})
+			if pr, _ := all.Coordinator(now, "x", team); pr.VM != "a" {
+				preferred = pr.VM
+			}
+		}
+		coordinator := func(fd id.FailureDomain) id.VM {
+			pr, _ := rs.Coordinator(now, fd, team)
+			return pr.VM
+		}
+		So(coordinator("x"), ShouldEqual, id.VM("a"))
+		So(rs.Receive(now, status(preferred, 1, 1)), ShouldBeFalse)
+		Convey("does not count, as the other may be of its failure domain", func() {
+			pr, alive := rs.Coordinator(now, "x", team)
+			So(pr.VM, ShouldEqual, preferred)
+			So(alive, ShouldBeFalse) // its address is not known
+			So(coordinator("y"), ShouldEqual, id.VM("other"))
+		})
+		Convey("counts again when it no longer hears from it", func() {
+			now = now.Add(roster.AliveFor)
+			So(coordinator("x"), ShouldEqual, id.VM("a"))
+		})
+		Convey("counts again when the other is registered in another failure domain", func() {
+			rs.SetPeers(now, []roster.Peer{peer("a", "x", 10), peer("other", "y", 10), peer(preferred, "y", 10)})
+			So(coordinator("x"), ShouldEqual, id.VM("a"))
+		})
+		Convey("counts if the other is leaving", func() {
+			st := status(preferred, 1, 2)
+			st.Report.State |= roster.Leaving
+			rs.Receive(now, st)
+			So(coordinator("x"), ShouldEqual, id.VM("a"))
+		})
+	})
+}
+
 // If the clock of a VM jumps back between two starts, the later process has a lower incarnation than the earlier one. If the other VMs
 // ignored it, another VM would count the requests of a team at the same time, and the team would exceed its limit.
 func TestLowerIncarnation(t *testing.T) {
