Placement: move the weights of a region at one rate

Callers saw more than the allowed 15 in 100 of a region's requests change their region within 2 s when another region lost targets by plan, and when traffic began.

Cause: for 4 s after a start or a change of capacity, each VM moved its weights by 0.2 a second, so that up to 0.4 of the requests could change region between two windows of 2 s.

Ruled out: VMs that act on different input; the weights of the VMs of a region were equal in the trace.

Change: one rate, 0.03 a second. A window of 2 s then differs by 0.06 from the one before, and chance adds up to 0.06 with 550 requests.

--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"math"
 	"time"
 
 	"damasklatch/core/id"
@@ -12,13 +11,8 @@
 const (
 	// localUtilization is the utilization of a region up to which it keeps all its own work.
 	localUtilization = 0.5
-	// shiftRate is the fraction of a region's work that may move between regions in a second. For fastShiftTime after the start
-	// of this VM, or after the capacity of a region has changed by the fraction significantCapacityChange or more, fastShiftRate
-	// applies instead, so that work quickly leaves a region that is too small for it.
-	shiftRate                 = 0.035
-	fastShiftRate             = 0.2
-	fastShiftTime             = 4 * time.Second
-	significantCapacityChange = 0.08
+	// shiftRate is the fraction of a region's requests that may move between regions in a second.
+	shiftRate = 0.03
 	// planIdleTime is the time without demand after which the weights may change in one step.
 	planIdleTime = 10 * time.Second
 	// maxExcess is the fraction of a VM's recent requests that a region may get in addition to its weight. Within this limit,
@@ -30,12 +24,10 @@
 
 // plan determines which fraction of the work of the VM's own region goes to which region.
 type plan struct {
-	weights           map[id.Region]float64
-	excess            map[id.Region]float64 // fraction of the recent requests minus the weight; negative below the weight
-	updatedAt         time.Time
-	capacity          map[id.Region]float64 // at the last significant change, in slots
-	capacityChangedAt time.Time
-	lastDemandAt      time.Time // zero if there was no demand yet
+	weights      map[id.Region]float64
+	excess       map[id.Region]float64 // fraction of the recent requests minus the weight; negative below the weight
+	updatedAt    time.Time
+	lastDemandAt time.Time // zero if there was no demand yet
 }
 
 // regionLoad is the capacity of a region and the demand for it, in slots.
@@ -131,19 +123,11 @@
 	if demanded {
 		pn.lastDemandAt = now
 	}
-	if pn.weights == nil {
-		pn.capacityChangedAt = now
-	}
 	if pn.weights == nil || now.Sub(pn.lastDemandAt) > planIdleTime {
-		pn.weights, pn.excess, pn.updatedAt, pn.capacity = want, map[id.Region]float64{}, now, capacity
+		pn.weights, pn.excess, pn.updatedAt = want, map[id.Region]float64{}, now
 		return
 	}
-	pn.recordCapacity(now, capacity)
-	rate := shiftRate
-	if now.Sub(pn.capacityChangedAt) < fastShiftTime {
-		rate = fastShiftRate
-	}
-	step := rate * min(now.Sub(pn.updatedAt).Seconds(), 1)
+	step := shiftRate * min(now.Sub(pn.updatedAt).Seconds(), 1)
 	pn.updatedAt = now
 	var distance float64
 	for name := range union(pn.weights, want) {
@@ -172,17 +156,6 @@
 	pn.weights = next
 }
 
-// recordCapacity records the time and the new capacity if the capacity of any region has changed significantly.
-func (pn *plan) recordCapacity(now time.Time, capacity map[id.Region]float64) {
-	for name := range union(pn.capacity, capacity) {
-		old := pn.capacity[name]
-		if math.Abs(capacity[name]-old) >= significantCapacityChange*max(old, capacity[name]) {
-			pn.capacityChangedAt, pn.capacity = now, capacity
-			return
-		}
-	}
-}
-
 // union returns the set of regions that are in either map.
 func union(aa, bb map[id.Region]float64) map[id.Region]bool {
 	all := make(map[id.Region]bool, len(aa)+len(bb))
