Placement: count all requests of a region against the weights of its plan

Cause: the weights of the plan governed movable requests only.

Ruled out: requests beyond a team's limit count as demand (they don't: arrivals are counted after the limiter); VMs with different weights (those of a region were equal); rounding of the shares of 65 VMs.

Change: the weights are of all requests, so that movable requests make up for bound ones that become more or fewer. VMs report to each other what arrived and where it was sent, and all VMs of a region take the weights of the movable requests from the same sum. If more requests are bound to a region than its weight and a margin allow, all VMs refuse the same part of them, with 503, reason "shift" and Retry-After 1 s. A VM with enough requests of its own also holds the margin at once, before the reports. The first plan counts the bound requests of the first arrivals, and is set in one step because nothing can have moved before it.

--- a/core/placement/demand.go
+++ b/core/placement/demand.go
@@ -120,12 +120,24 @@
 		if len(capacity) == 0 {
 			continue
 		}
+		traffic := pl.mix.region(now, len(pc.vms[pc.op.Region]))
 		need := demand[name]
-		if sumOfSlots(need) < minDemand || !pl.demand.settled(now) {
+		settled := pl.demand.settled(now)
+		if sumOfSlots(need) < minDemand || !settled {
 			need = assumedDemand(capacity)
+			need[pc.op.Region] = withBoundOf(need[pc.op.Region], traffic)
+		}
+		if !settled {
+			pl.plan.weights = nil // there is no earlier traffic of which parts could change region
 		}
 		want := desiredWeights(pc.op.Region, newRegionLoads(capacity, need))
-		pl.plan.moveTowards(now, pl.demand.average.Slots >= minDemand, want, capacity)
+		all := withBound(want, boundParts(need[pc.op.Region]))
+		pl.plan.moveTowards(now, pl.demand.average.Slots >= minDemand, all, capacity)
+		bound := pl.mix.limit(traffic, pl.plan.weights)
+		if traffic.Arrived < minJudged {
+			bound = boundParts(need[pc.op.Region])
+		}
+		pl.plan.setMovable(want, bound)
 	}
 }
 
@@ -161,3 +173,11 @@
 	}
 	return need
 }
+
+// withBoundOf returns demand of which the same parts are bound as of the traffic.
+func withBoundOf(demand workload.Demand, tr Traffic) workload.Demand {
+	for name, num := range tr.Bound {
+		demand.AddBound(name, demand.Slots*num/max(tr.Arrived, 1))
+	}
+	return demand
+}
--- a/core/placement/doc.go
+++ b/core/placement/doc.go
@@ -4,7 +4,10 @@
 //
 //  1. Choose a region. Each VM has a plan with a weight for each region. The plan keeps work in the VM's own region up to a
 //     utilization limit and moves the rest to regions with spare capacity, after room for the work that may run only in a
-//     region. It is computed from the demand that all VMs report and changes gradually.
+//     region. It is computed from the demand that all VMs report and changes gradually. Its weights are of all requests of the
+//     region, those included that may run only in some regions: the others make up for them. VMs report to each other how many
+//     requests they got and where they sent them. If requests that may run only in another region suddenly become so many that
+//     the part of the region's requests which run there would change too fast, some of them are refused.
 //  2. Choose a target in the region: the one with the lowest cost. The cost is the estimated time until the target finishes
 //     the request, plus a penalty for recent failures. The estimate depends on the queue of the target and on whether the
 //     target knows the object of the request.
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -31,6 +31,8 @@
 	maxRetryAfter = 2 * time.Second
 	// noTargetRetryAfter is the time after which a caller is told to retry if no target can be used.
 	noTargetRetryAfter = 500 * time.Millisecond
+	// shiftRetryAfter is the time after which a caller is told to retry if too many requests would change their region.
+	shiftRetryAfter = time.Second
 )
 
 // Options describes the VM on which a Placer runs.
@@ -69,6 +71,7 @@
 	plan         plan
 	serviceTimes map[id.Route]*serviceTimes
 	demand       demandMeter
+	mix          mix
 }
 
 // serviceTimes holds moving averages of the time that a target takes for requests of a route: for requests on objects that the
@@ -164,7 +167,7 @@
 func (pc *Placer) pool(name id.Pool) *pool {
 	pl := pc.pools[name]
 	if pl == nil {
-		pl = &pool{regions: map[id.Region][]*targetState{}, serviceTimes: map[id.Route]*serviceTimes{}}
+		pl = &pool{regions: map[id.Region][]*targetState{}, serviceTimes: map[id.Route]*serviceTimes{}, mix: newMix()}
 		pc.pools[name] = pl
 	}
 	return pl
@@ -185,11 +188,13 @@
 }
 
 // CountArrival adds a request to the demand of its pool. It must be called once for each request, not for each attempt.
-func (pc *Placer) CountArrival(rq *Request) {
+func (pc *Placer) CountArrival(now time.Time, rq *Request) {
 	pc.mu.Lock()
 	defer pc.mu.Unlock()
 	pl := pc.pool(rq.Pool)
-	pl.demand.add(pl.serviceTimesFor(rq).mean, pl.boundRegions(rq))
+	bound := pl.boundRegions(rq)
+	pl.demand.add(pl.serviceTimesFor(rq).mean, bound)
+	pl.mix.countArrival(now, bound)
 }
 
 // Pick chooses a target for an attempt of the request and counts the attempt as in flight there. The caller must call Done when
@@ -198,17 +203,37 @@
 	pc.mu.Lock()
 	defer pc.mu.Unlock()
 	pl := pc.pool(rq.Pool)
+	ch, rf := pc.pick(now, pl, rq)
+	if rf == nil && len(rq.Tried) == 0 {
+		pl.mix.placed.add(now, ch.Region, 1)
+	}
+	return ch, rf
+}
+
+func (pc *Placer) pick(now time.Time, pl *pool, rq *Request) (Choice, *Refusal) {
 	object := rendezvous.Hash(string(rq.Route), rq.Object)
-	if rq.Size >= largeBody && pc.regionUsable(now, pl, rq, pc.op.Region) {
+	var exceeded map[id.Region]bool
+	bound := len(pl.boundRegions(rq)) > 0
+	if len(rq.Tried) == 0 {
+		chance := movableChance
+		if bound {
+			chance = boundChance
+		}
+		exceeded = pl.mix.exceeded(now, pl.plan.weights, chance)
+	}
+	if rq.Size >= largeBody && !exceeded[pc.op.Region] && pc.regionUsable(now, pl, rq, pc.op.Region) {
 		// A request with a large body leaves the region only if the region is full, to save bandwidth between regions.
 		if ch, rf := pc.pickInRegion(now, pl, rq, object, pc.op.Region); rf == nil {
 			return ch, nil
 		}
 	}
-	region, ok := pc.chooseRegion(now, pl, rq, object)
+	region, ok := pc.chooseRegion(now, pl, rq, object, exceeded)
 	if !ok {
 		return Choice{}, pc.noTarget(now, pl, rq, "")
 	}
+	if len(rq.Tried) == 0 && bound && (exceeded[region] || !pl.mix.admit(region)) {
+		return Choice{}, &Refusal{Reason: Shift, RetryAfter: shiftRetryAfter, Region: region}
+	}
 	return pc.pickInRegion(now, pl, rq, object, region)
 }
 
@@ -255,10 +280,10 @@
 
 // chooseRegion chooses a region according to the plan. Without a plan, or if the plan has no usable region, it chooses the own
 // region if that is usable, and otherwise an arbitrary usable region.
-func (pc *Placer) chooseRegion(now time.Time, pl *pool, rq *Request, object uint64) (id.Region, bool) {
+func (pc *Placer) chooseRegion(now time.Time, pl *pool, rq *Request, object uint64, exceeded map[id.Region]bool) (id.Region, bool) {
 	usable := func(name id.Region) bool { return pc.regionUsable(now, pl, rq, name) }
 	if pl.plan.weights != nil {
-		if name, ok := pl.plan.chooseRegion(object, rq.Object != "", usable); ok {
+		if name, ok := pl.followPlan(rq, object, usable, exceeded); ok {
 			return name, true
 		}
 	}
@@ -273,6 +298,18 @@
 	return "", false
 }
 
+// followPlan chooses a region by the weights of the plan, as far as possible one that has not exceeded its weight.
+func (pl *pool) followPlan(rq *Request, object uint64, usable func(id.Region) bool, exceeded map[id.Region]bool) (id.Region, bool) {
+	if len(pl.boundRegions(rq)) == 0 {
+		return pl.plan.chooseRegion(object, rq.Object != "", usable, exceeded)
+	}
+	open := func(name id.Region) bool { return usable(name) && !exceeded[name] }
+	if name, ok := pl.plan.chooseBound(object, open); ok {
+		return name, true
+	}
+	return pl.plan.chooseBound(object, usable)
+}
+
 // regionUsable reports whether the request may be sent to the region and an eligible target exists there.
 func (pc *Placer) regionUsable(now time.Time, pl *pool, rq *Request, name id.Region) bool {
 	if rq.Allowed != nil && !rq.Allowed(name) {
--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -13,6 +13,8 @@
 	localUtilization = 0.5
 	// shiftRate is the fraction of a region's requests that may move between regions in a second.
 	shiftRate = 0.03
+	// minMovable is the smallest weight of movable requests in a region that should get none.
+	minMovable = 0.03
 	// planIdleTime is the time without demand after which the weights may change in one step.
 	planIdleTime = 10 * time.Second
 	// maxExcess is the fraction of a VM's recent requests that a region may get in addition to its weight. Within this limit,
@@ -22,10 +24,12 @@
 	excessWeight = 0.01
 )
 
-// plan determines which fraction of the work of the VM's own region goes to which region.
+// plan determines which fraction of the requests of the VM's own region goes to which region.
 type plan struct {
-	weights      map[id.Region]float64
-	excess       map[id.Region]float64 // fraction of the recent requests minus the weight; negative below the weight
+	weights map[id.Region]float64 // of all requests, those included that may run only in some regions
+	movable map[id.Region]float64 // of the requests that may run in every region
+	excess  map[id.Region]float64 // fraction of the recent movable requests minus their weight; negative below it
+
 	updatedAt    time.Time
 	lastDemandAt time.Time // zero if there was no demand yet
 }
@@ -156,6 +160,50 @@
 	pn.weights = next
 }
 
+// boundParts returns the parts of a region's demand that may run only in some regions.
+func boundParts(demand workload.Demand) map[id.Region]float64 {
+	parts := map[id.Region]float64{}
+	if demand.Slots <= 0 {
+		return parts
+	}
+	for name, slots := range demand.Bound {
+		parts[name] = min(slots/demand.Slots, 1)
+	}
+	return parts
+}
+
+// withBound returns the weights of all requests from those of the movable ones and the parts of the bound ones.
+func withBound(movable, bound map[id.Region]float64) map[id.Region]float64 {
+	rest := 1.0
+	for _, part := range bound {
+		rest -= part
+	}
+	all := make(map[id.Region]float64, len(movable))
+	for name := range union(movable, bound) {
+		all[name] = bound[name] + max(rest, 0)*movable[name]
+	}
+	return all
+}
+
+// setMovable derives the weights of the movable requests: what the bound ones leave of the weights of all. So movable requests make
+// up for bound ones that become more or fewer. A region that the plan wants to have no movable requests gets none for a small rest,
+// because no target there knows their objects.
+func (pn *plan) setMovable(want, bound map[id.Region]float64) {
+	pn.movable = map[id.Region]float64{}
+	var sum float64
+	for name, weight := range pn.weights {
+		rest := max(weight-bound[name], 0)
+		if want[name] <= 0 && rest < minMovable {
+			rest = 0
+		}
+		pn.movable[name] = rest
+		sum += rest
+	}
+	if sum <= 0 {
+		pn.movable = want
+	}
+}
+
 // union returns the set of regions that are in either map.
 func union(aa, bb map[id.Region]float64) map[id.Region]bool {
 	all := make(map[id.Region]bool, len(aa)+len(bb))
@@ -168,42 +216,69 @@
 	return all
 }
 
-// chooseRegion chooses the region of a request among the usable regions. A request with an object (named is true) goes to the
-// region that the object hashes to, unless that region has exceeded its weight by more than maxExcess. Other requests go to the
-// region that is furthest below its weight.
-func (pn *plan) chooseRegion(object uint64, named bool, usable func(id.Region) bool) (id.Region, bool) {
-	var sum float64
-	names := make([]id.Region, 0, len(pn.weights))
-	for name, weight := range pn.weights {
-		if weight > 0 && usable(name) {
-			names = append(names, name)
-			sum += weight
-		}
+// chooseRegion chooses the region of a movable request among the usable regions, as far as possible among those that have not
+// exceeded their weight. A request with an object (named is true) goes to the region that the object hashes to, unless that region
+// has exceeded its weight by more than maxExcess. Other requests go to the region that is furthest below its weight.
+func (pn *plan) chooseRegion(object uint64, named bool, usable func(id.Region) bool, exceeded map[id.Region]bool) (id.Region, bool) {
+	weights := positive(pn.movable, func(name id.Region) bool { return usable(name) && !exceeded[name] })
+	if len(weights) == 0 {
+		weights = positive(pn.weights, func(name id.Region) bool { return usable(name) && !exceeded[name] })
 	}
-	if sum <= 0 {
-		return "", false
+	if len(weights) == 0 {
+		weights = positive(pn.weights, usable)
 	}
-	var preferred, behind id.Region
-	best := -1.0
-	for _, name := range names {
-		// Weighted rendezvous hashing: an object keeps its region as long as the weights do not change.
-		unit := (float64(rendezvous.Mix(object^rendezvous.Hash(string(name)))>>11) + 0.5) / (1 << 53)
-		if score := pn.weights[name] / sum / -logUnit(unit); score > best {
-			best, preferred = score, name
-		}
-		if behind == "" || pn.excess[name] < pn.excess[behind] {
-			behind = name
-		}
+	if len(weights) == 0 {
+		return "", false
 	}
+	preferred := hashRegion(object, weights)
 	if !named || pn.excess[preferred] > maxExcess {
-		preferred = behind
+		for name := range weights {
+			if pn.excess[name] < pn.excess[preferred] {
+				preferred = name
+			}
+		}
 	}
-	for _, name := range names {
+	for name, weight := range weights {
 		got := 0.0
 		if name == preferred {
 			got = 1
 		}
-		pn.excess[name] += excessWeight * (got - pn.weights[name]/sum - pn.excess[name])
+		pn.excess[name] += excessWeight * (got - weight - pn.excess[name])
 	}
 	return preferred, true
 }
+
+// chooseBound chooses the region of a request that may run only in some regions.
+func (pn *plan) chooseBound(object uint64, usable func(id.Region) bool) (id.Region, bool) {
+	weights := positive(pn.weights, usable)
+	return hashRegion(object, weights), len(weights) > 0
+}
+
+// positive returns the positive weights of the usable regions, scaled to a sum of one.
+func positive(weights map[id.Region]float64, usable func(id.Region) bool) map[id.Region]float64 {
+	var sum float64
+	all := make(map[id.Region]float64, len(weights))
+	for name, weight := range weights {
+		if weight > 0 && usable(name) {
+			all[name] = weight
+			sum += weight
+		}
+	}
+	for name := range all {
+		all[name] /= sum
+	}
+	return all
+}
+
+// hashRegion chooses a region by weighted rendezvous hashing: an object keeps its region as long as the weights do not change.
+func hashRegion(object uint64, weights map[id.Region]float64) id.Region {
+	var preferred id.Region
+	best := -1.0
+	for name, weight := range weights {
+		unit := (float64(rendezvous.Mix(object^rendezvous.Hash(string(name)))>>11) + 0.5) / (1 << 53)
+		if score := weight / -logUnit(unit); score > best {
+			best, preferred = score, name
+		}
+	}
+	return preferred
+}
--- a/core/placement/target.go
+++ b/core/placement/target.go
@@ -50,6 +50,7 @@
 const (
 	NoTarget Reason = "no_target" // no target of the pool is usable for the request
 	Full     Reason = "full"      // the request would wait too long at the target with the lowest cost
+	Shift    Reason = "shift"     // too many requests of the own region would run in another region than before
 )
 
 // Refusal tells why no target was chosen for a request and when the caller should retry.
--- a/core/roster/message.go
+++ b/core/roster/message.go
@@ -72,6 +72,17 @@
 	// Changes holds, for each kind of object, the revision of the newest change that the sender has seen.
 	Changes map[string]int64 `cbor:"11,keyasint,omitempty"`
 	Bound   BoundWork        `cbor:"12,keyasint,omitempty"` // the part of Work that may run only in some regions
+	Traffic []Traffic        `cbor:"13,keyasint,omitempty"` // the sender's recent requests
+}
+
+// Traffic holds the numbers of recent requests of a pool: all that arrived, those that may run only in some regions, and
+// those sent to each region.
+type Traffic struct {
+	_       struct{} `cbor:",toarray"`
+	Pool    id.Pool
+	Arrived float32
+	Bound   map[id.Region]float32
+	Placed  map[id.Region]float32
 }
 
 // BoundWork is the work of each pool, in slots, by the region in which it must run.
@@ -116,6 +127,7 @@
 	Loads         []Load              `cbor:"4,keyasint,omitempty"`
 	Age           time.Duration       `cbor:"5,keyasint,omitempty"` // time since the summary was made
 	Bound         BoundWork           `cbor:"6,keyasint,omitempty"` // the part of Work that may run only in some regions
+	Traffic       []Traffic           `cbor:"7,keyasint,omitempty"` // sum over the VMs
 }
 
 // Status is the message that VMs send each other: the sender's report, and from an aggregator also summaries.
--- a/core/roster/summary.go
+++ b/core/roster/summary.go
@@ -141,6 +141,7 @@
 			sm.Work[pl] += slots
 		}
 		sm.Bound.add(rp.Bound)
+		sm.Traffic = addTraffic(sm.Traffic, rp.Traffic)
 	}
 	add(own)
 	for _, mb := range rs.members {
--- a/io/gateway/loss.go
+++ b/io/gateway/loss.go
@@ -14,6 +14,7 @@
 const (
 	lossLimit        Loss = "limit"               // the team had used up its limit
 	lossFull         Loss = "full"                // the request would have waited too long for a slot
+	lossShift        Loss = "shift"               // too many requests would run in another region than before
 	lossNoTarget     Loss = "no_target"           // no target of the pool was usable
 	lossNoLease      Loss = "no_lease"            // the VM had no valid lease of the configuration
 	lossStarting     Loss = "starting"            // the VM had no configuration yet
@@ -29,13 +30,13 @@
 
 // allLosses lists every Loss.
 var allLosses = []Loss{
-	lossLimit, lossFull, lossNoTarget, lossNoLease, lossStarting, lossTargetFailed, lossTimeout, lossCallerLeft,
+	lossLimit, lossFull, lossShift, lossNoTarget, lossNoLease, lossStarting, lossTargetFailed, lossTimeout, lossCallerLeft,
 	lossRetried, lossColdTarget, lossUnknown, lossWaited, lossSlow,
 }
 
 // refusalLosses holds the losses of the reasons that are not caused by the configuration.
 var refusalLosses = map[Reason]Loss{
-	reasonRate: lossLimit, reasonFull: lossFull, reasonNoTarget: lossNoTarget, reasonStale: lossNoLease,
+	reasonRate: lossLimit, reasonFull: lossFull, reasonShift: lossShift, reasonNoTarget: lossNoTarget, reasonStale: lossNoLease,
 	reasonNoConfig: lossStarting, reasonRefused: lossTargetFailed, reasonUnreached: lossTargetFailed,
 	reasonLost: lossTargetFailed, reasonUnstated: lossTargetFailed, reasonNotSent: lossTargetFailed, reasonTimeout: lossTimeout,
 }
--- a/io/gateway/members.go
+++ b/io/gateway/members.go
@@ -121,9 +121,50 @@
 	if mine := ct.Placer.Demand(now); !own {
 		regions.Add(ct.self.Region, mine)
 	}
+	traffic, own := ct.Roster.RegionTraffic(now, ct.Settings.Regions)
+	all := placedTraffic(traffic)
+	if !own {
+		for name, mine := range ct.Placer.Traffic(now) {
+			sum := all[name]
+			sum.Add(mine)
+			all[name] = sum
+		}
+	}
+	ct.Placer.SetRegionTraffic(now, all)
 	ct.Placer.UpdatePlan(now, regions.ByPool())
 }
 
+// reportedTraffic returns the recent requests of this VM as it reports them.
+func reportedTraffic(all map[id.Pool]placement.Traffic) []roster.Traffic {
+	list := make([]roster.Traffic, 0, len(all))
+	for name, tr := range all {
+		list = append(list, roster.Traffic{
+			Pool: name, Arrived: float32(tr.Arrived), Bound: convertCounts[float32](tr.Bound), Placed: convertCounts[float32](tr.Placed),
+		})
+	}
+	return list
+}
+
+// placedTraffic returns reported requests by pool, for the placer.
+func placedTraffic(list []roster.Traffic) map[id.Pool]placement.Traffic {
+	all := make(map[id.Pool]placement.Traffic, len(list))
+	for nr := range list {
+		tr := &list[nr]
+		all[tr.Pool] = placement.Traffic{
+			Arrived: float64(tr.Arrived), Bound: convertCounts[float64](tr.Bound), Placed: convertCounts[float64](tr.Placed),
+		}
+	}
+	return all
+}
+
+func convertCounts[To, From float32 | float64](counts map[id.Region]From) map[id.Region]To {
+	all := make(map[id.Region]To, len(counts))
+	for name, num := range counts {
+		all[name] = To(num)
+	}
+	return all
+}
+
 // updateReady decides whether this VM is ready for requests, and updates the directory for look-ups.
 func (ct *Controller) updateReady(now time.Time, members []roster.Member) {
 	ks := ct.Adapter.Kinds()
--- a/io/gateway/refusal.go
+++ b/io/gateway/refusal.go
@@ -24,6 +24,7 @@
 	reasonRate        Reason = "rate"
 	reasonNoTarget    Reason = "no_target"
 	reasonFull        Reason = "full"
+	reasonShift       Reason = "shift" // too many requests of the region would run in another one than before
 	reasonRefused     Reason = "target_refused"
 	reasonUnreached   Reason = "target_unreached"
 	reasonTimeout     Reason = "timeout"
@@ -39,7 +40,7 @@
 	reasonBodyLarge: http.StatusRequestEntityTooLarge, reasonNoConfig: http.StatusServiceUnavailable,
 	reasonStale: http.StatusServiceUnavailable, reasonRate: http.StatusTooManyRequests,
 	reasonNoTarget: http.StatusServiceUnavailable, reasonFull: http.StatusServiceUnavailable,
-	reasonRefused: http.StatusServiceUnavailable, reasonUnreached: http.StatusServiceUnavailable,
+	reasonShift: http.StatusServiceUnavailable, reasonRefused: http.StatusServiceUnavailable, reasonUnreached: http.StatusServiceUnavailable,
 	reasonTimeout: http.StatusGatewayTimeout, reasonLost: http.StatusBadGateway,
 	reasonNotSent: http.StatusServiceUnavailable, reasonUnstated: http.StatusBadGateway,
 }
--- a/io/gateway/reports.go
+++ b/io/gateway/reports.go
@@ -108,6 +108,7 @@
 		Sent: ct.Lease.Now(), Changes: make(map[string]int64, len(ct.latestChanges)),
 	}
 	rp.SetDemand(ct.Placer.Demand(now))
+	rp.Traffic = reportedTraffic(ct.Placer.Traffic(now))
 	for kind, rev := range ct.latestChanges {
 		rp.Changes[string(kind)] = int64(max(rev, ct.progress[kind].announced))
 	}
--- a/io/gateway/request.go
+++ b/io/gateway/request.go
@@ -117,7 +117,7 @@
 		}
 	}
 	// Requests beyond the limit of a team are not counted: they need no slots, and would move work of other teams away.
-	rq.sv.op.Placer.CountArrival(&rq.placement)
+	rq.sv.op.Placer.CountArrival(rq.started, &rq.placement)
 	return nil
 }
 
