Placement: plan a request with several regions where it would run

A request that may run in its own region or in another one counted half for each. Since the weights are of all requests, movable requests of the own region then leave it to fill the half of the other one, although the own region has room.

Change: such a request counts for the regions among which the plan would divide it, by the weights of the movable requests, and is sent by the same weights.

Test: a region with room, where three in ten requests may run there or in another region and one in ten only in the other one.

--- a/core/placement/demand.go
+++ b/core/placement/demand.go
@@ -31,13 +31,13 @@
 	average    workload.Demand
 }
 
-// add counts a request with the given service time. Bound lists the regions in which it must run, and is empty if it may run in
-// any region.
-func (dm *demandMeter) add(service time.Duration, bound []id.Region) {
+// add counts a request with the given service time. Bound holds the parts of it that count for the regions in which it may run, and
+// is empty if it may run in any region.
+func (dm *demandMeter) add(service time.Duration, bound map[id.Region]float64) {
 	work := service.Seconds()
 	dm.arrived.Slots += work
-	for _, name := range bound {
-		dm.arrived.AddBound(name, work/float64(len(bound)))
+	for name, part := range bound {
+		dm.arrived.AddBound(name, part*work)
 	}
 }
 
--- a/core/placement/mix.go
+++ b/core/placement/mix.go
@@ -33,7 +33,7 @@
 // so all VMs of a region come to the same result.
 type Traffic struct {
 	Arrived float64               // requests in arrivalWindow
-	Bound   map[id.Region]float64 // those of Arrived that may run only in some regions, divided equally among these
+	Bound   map[id.Region]float64 // those of Arrived that may run only in some regions, by these regions
 	Placed  map[id.Region]float64 // requests sent to each region in mixWindow
 }
 
@@ -132,13 +132,14 @@
 	return mix{arrived: counter{window: arrivalWindow}, placed: counter{window: mixWindow}}
 }
 
-// countArrival counts a request that may run only in the given regions, or everywhere if there are none.
-func (mx *mix) countArrival(now time.Time, bound []id.Region) {
+// countArrival counts a request. Bound holds the parts of it that count for the regions in which it may run, and is empty if it may
+// run in any region.
+func (mx *mix) countArrival(now time.Time, bound map[id.Region]float64) {
 	if len(bound) == 0 {
 		mx.arrived.add(now, "", 1)
 	}
-	for _, name := range bound {
-		mx.arrived.add(now, name, 1/float64(len(bound)))
+	for name, part := range bound {
+		mx.arrived.add(now, name, part)
 	}
 }
 
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -192,11 +192,28 @@
 	pc.mu.Lock()
 	defer pc.mu.Unlock()
 	pl := pc.pool(rq.Pool)
-	bound := pl.boundRegions(rq)
+	bound := pl.boundParts(rq)
 	pl.demand.add(pl.serviceTimesFor(rq).mean, bound)
 	pl.mix.countArrival(now, bound)
 }
 
+// boundParts divides a request that may run only in some regions among them as the plan would, or equally if it gives none a weight.
+// It returns nil for a request that may run everywhere.
+func (pl *pool) boundParts(rq *Request) map[id.Region]float64 {
+	bound := pl.boundRegions(rq)
+	if len(bound) == 0 {
+		return nil
+	}
+	parts := pl.plan.boundWeights(func(name id.Region) bool { return slices.Contains(bound, name) })
+	if len(parts) > 0 {
+		return parts
+	}
+	for _, name := range bound {
+		parts[name] = 1 / float64(len(bound))
+	}
+	return parts
+}
+
 // Pick chooses a target for an attempt of the request and counts the attempt as in flight there. The caller must call Done when
 // the attempt ends. If no target can take the request, Pick returns a refusal instead and nothing is counted.
 func (pc *Placer) Pick(now time.Time, rq *Request) (Choice, *Refusal) {
--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -248,9 +248,18 @@
 	return preferred, true
 }
 
+// boundWeights returns the weights of the usable regions for requests that may run only in some regions. They go to the same regions
+// as movable ones if they can.
+func (pn *plan) boundWeights(usable func(id.Region) bool) map[id.Region]float64 {
+	if weights := positive(pn.movable, usable); len(weights) > 0 {
+		return weights
+	}
+	return positive(pn.weights, usable)
+}
+
 // chooseBound chooses the region of a request that may run only in some regions.
 func (pn *plan) chooseBound(object uint64, usable func(id.Region) bool) (id.Region, bool) {
-	weights := positive(pn.weights, usable)
+	weights := pn.boundWeights(usable)
 	return hashRegion(object, weights), len(weights) > 0
 }
 
--- a/core/placement/plan_test.go
+++ b/core/placement/plan_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -145,3 +146,38 @@
 		})
 	})
 }
+
+// Guards against requests that may run in their own region or in another one and are planned as if half of them ran in each: movable
+// requests of a region with room would then leave it to fill the other half.
+func TestPlanOfRequestsWithTwoRegions(t *testing.T) {
+	Convey("three in ten requests may run in the north or in the south, and the north has room", t, func() {
+		pc := newPlacer("a")
+		pc.SetTargets(start, slices.Concat(targets(40, "north"), targets(40, "south"), targets(40, "west")))
+		placed, refused := map[id.Region]int{}, 0
+		now := start
+		for nr := range 2000 {
+			now = now.Add(5 * time.Millisecond)
+			rq := request(fmt.Sprint("object-", nr))
+			if nr%10 < 3 {
+				rq.Allowed = func(rg id.Region) bool { return rg == "north" || rg == "south" }
+			}
+			if nr%10 == 9 {
+				rq.Allowed = only("south")
+			}
+			pc.CountArrival(now, rq)
+			if nr%10 == 0 {
+				own := pc.Demand(now)["desk"]
+				pc.UpdatePlan(now, map[id.Pool]map[id.Region]workload.Demand{"desk": {"north": own, "south": own, "west": {}}})
+			}
+			ch, rf := pc.Pick(now, rq)
+			if rf != nil {
+				refused++
+				continue
+			}
+			placed[ch.Region]++
+			pc.Done(now, &ch, "read", placement.Result{Kind: placement.Succeeded, Latency: 50 * time.Millisecond})
+		}
+		So(refused, ShouldBeLessThan, 20)
+		So(placed["south"], ShouldBeLessThan, 260)
+	})
+}
