Placement: count requests that a full region refuses in the mix

Callers were refused as "full" although other regions had room.

Cause, since: the bound requests that south refuses did not count as sent there, so the other regions looked as if they exceeded their weights, and movable requests went to south to make up for them, where they were refused, too.

Change: a request that is refused because the chosen region is full counts as sent there.

Test: bound requests that are more than the region can take.

--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -221,8 +221,15 @@
 	defer pc.mu.Unlock()
 	pl := pc.pool(rq.Pool)
 	ch, rf := pc.pick(now, pl, rq)
-	if rf == nil && len(rq.Tried) == 0 {
+	if len(rq.Tried) > 0 {
+		return ch, rf
+	}
+	switch {
+	case rf == nil:
 		pl.mix.placed.add(now, ch.Region, 1)
+	case rf.Reason == Full:
+		// It counts, too. Otherwise movable requests would be sent to the full region, to make up for those refused there.
+		pl.mix.placed.add(now, rf.Region, 1)
 	}
 	return ch, rf
 }
--- a/core/placement/shift_test.go
+++ b/core/placement/shift_test.go
@@ -37,6 +37,7 @@
 	placed   map[id.Region][]shiftPlacement // by region of the caller
 	refused  int
 	total    int
+	wrongful int // refused movable requests that were to run in the south
 	// surge is the factor of the requests of the team that must run in the central region.
 	surge float64
 	// home is the factor of the requests of each region that must run in the south.
@@ -130,6 +131,9 @@
 		ch, rf := pc.Pick(fl.now, rq)
 		if rf != nil {
 			fl.refused++
+			if rq.Allowed == nil && rf.Reason == placement.Full && rf.Region == "south" {
+				fl.wrongful++
+			}
 			continue
 		}
 		fl.placed[rg] = append(fl.placed[rg], shiftPlacement{fl.now, ch.Region})
@@ -282,3 +286,19 @@
 func TestShiftInSurgeOfBoundTeamOfLargeFleet(t *testing.T) {
 	checkShift(t, []int{65, 195}, surge)
 }
+
+// Guards against movable requests that go to a full region to make up for the bound ones which that region refuses, and are refused
+// there, too.
+func TestMovableRequestsAvoidFullRegion(t *testing.T) {
+	for _, vms := range []int{4, 12, 65} {
+		fl := newShiftFleet(vms, 1)
+		for _, rg := range fl.regions {
+			fl.home[rg] = 6
+		}
+		fl.run(10 * time.Second)
+		t.Logf("%d VMs: %d of %d requests refused, %d of them movable and in the south", vms, fl.refused, fl.total, fl.wrongful)
+		if fl.wrongful > fl.total/100 {
+			t.Errorf("%d VMs: %d of %d requests are movable and refused in the full region, want at most 1 in 100", vms, fl.wrongful, fl.total)
+		}
+	}
+}
