--- a/core/placement/missing.go
+++ b/core/placement/missing.go
@@ -9,6 +9,9 @@
 	"damasklatch/core/rendezvous"
 )
 
+// significantMissing is the part of a region's slots that must be missing before the region counts as one that lacks slots.
+const significantMissing = 0.08
+
 // lacksSlots reports whether a significant part of the slots that are registered for the pool in a region is missing because targets
 // there pause, return from a pause, or leave.
 func (pl *pool) lacksSlots(now time.Time, region id.Region) bool {
@@ -22,7 +25,7 @@
 			missing += slots * (1 - ts.returned(now))
 		}
 	}
-	return missing > 0 && missing >= significantCapacityChange*all
+	return missing > 0 && missing >= significantMissing*all
 }
 
 // pickElsewhere chooses a target in another region for a request that is refused in a region which lacks slots. The plan moves work to
--- a/core/placement/notice_test.go
+++ b/core/placement/notice_test.go
@@ -297,7 +297,7 @@
 				}
 				for range 50 {
 					now = now.Add(100 * time.Millisecond)
-					pc.CountArrival(request("x"))
+					pc.CountArrival(now, request("x"))
 					pc.UpdatePlan(now, demand)
 				}
 				So(shares(pc, now, request)["north"], ShouldBeBetween, 0.4, 0.6)
--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"math"
 	"time"
 
 	"damasklatch/core/id"
@@ -12,13 +11,10 @@
 const (
 	// localUtilization is the utilization of a region up to which it keeps all its own work.
 	localUtilization = 0.5
-	// shiftRate is the fraction of a region's work that may move between regions in a second. For fastShiftTime after the start
-	// of this VM, or after the capacity of a region has changed by the fraction significantCapacityChange or more, fastShiftRate
-	// applies instead, so that work quickly leaves a region that is too small for it.
-	shiftRate                 = 0.035
-	fastShiftRate             = 0.2
-	fastShiftTime             = 4 * time.Second
-	significantCapacityChange = 0.08
+	// shiftRate is the fraction of a region's requests that may move between regions in a second.
+	shiftRate = 0.03
+	// minMovable is the smallest weight of movable requests in a region that should get none.
+	minMovable = 0.03
 	// planIdleTime is the time without demand after which the weights may change in one step.
 	planIdleTime = 10 * time.Second
 	// maxExcess is the fraction of a VM's recent requests that a region may get in addition to its weight. Within this limit,
@@ -28,14 +24,14 @@
 	excessWeight = 0.01
 )
 
-// plan determines which fraction of the work of the VM's own region goes to which region.
+// plan determines which fraction of the requests of the VM's own region goes to which region.
 type plan struct {
-	weights           map[id.Region]float64
-	excess            map[id.Region]float64 // fraction of the recent requests minus the weight; negative below the weight
-	updatedAt         time.Time
-	capacity          map[id.Region]float64 // at the last significant change, in slots
-	capacityChangedAt time.Time
-	lastDemandAt      time.Time // zero if there was no demand yet
+	weights map[id.Region]float64 // of all requests, those included that may run only in some regions
+	movable map[id.Region]float64 // of the requests that may run in every region
+	excess  map[id.Region]float64 // fraction of the recent movable requests minus their weight; negative below it
+
+	updatedAt    time.Time
+	lastDemandAt time.Time // zero if there was no demand yet
 }
 
 // regionLoad is the capacity of a region and the demand for it, in slots.
@@ -131,19 +127,11 @@
 	if demanded {
 		pn.lastDemandAt = now
 	}
-	if pn.weights == nil {
-		pn.capacityChangedAt = now
-	}
 	if pn.weights == nil || now.Sub(pn.lastDemandAt) > planIdleTime {
-		pn.weights, pn.excess, pn.updatedAt, pn.capacity = want, map[id.Region]float64{}, now, capacity
+		pn.weights, pn.excess, pn.updatedAt = want, map[id.Region]float64{}, now
 		return
 	}
-	pn.recordCapacity(now, capacity)
-	rate := shiftRate
-	if now.Sub(pn.capacityChangedAt) < fastShiftTime {
-		rate = fastShiftRate
-	}
-	step := rate * min(now.Sub(pn.updatedAt).Seconds(), 1)
+	step := shiftRate * min(now.Sub(pn.updatedAt).Seconds(), 1)
 	pn.updatedAt = now
 	var distance float64
 	for name := range union(pn.weights, want) {
@@ -172,14 +160,47 @@
 	pn.weights = next
 }
 
-// recordCapacity records the time and the new capacity if the capacity of any region has changed significantly.
-func (pn *plan) recordCapacity(now time.Time, capacity map[id.Region]float64) {
-	for name := range union(pn.capacity, capacity) {
-		old := pn.capacity[name]
-		if math.Abs(capacity[name]-old) >= significantCapacityChange*max(old, capacity[name]) {
-			pn.capacityChangedAt, pn.capacity = now, capacity
-			return
+// boundParts returns the parts of a region's demand that may run only in some regions.
+func boundParts(demand workload.Demand) map[id.Region]float64 {
+	parts := map[id.Region]float64{}
+	if demand.Slots <= 0 {
+		return parts
+	}
+	for name, slots := range demand.Bound {
+		parts[name] = min(slots/demand.Slots, 1)
+	}
+	return parts
+}
+
+// withBound returns the weights of all requests from those of the movable ones and the parts of the bound ones.
+func withBound(movable, bound map[id.Region]float64) map[id.Region]float64 {
+	rest := 1.0
+	for _, part := range bound {
+		rest -= part
+	}
+	all := make(map[id.Region]float64, len(movable))
+	for name := range union(movable, bound) {
+		all[name] = bound[name] + max(rest, 0)*movable[name]
+	}
+	return all
+}
+
+// setMovable derives the weights of the movable requests: what the bound ones leave of the weights of all. So movable requests make
+// up for bound ones that become more or fewer. A region that the plan wants to have no movable requests gets none for a small rest,
+// because no target there knows their objects.
+func (pn *plan) setMovable(want, bound map[id.Region]float64) {
+	pn.movable = map[id.Region]float64{}
+	var sum float64
+	for name, weight := range pn.weights {
+		rest := max(weight-bound[name], 0)
+		if want[name] <= 0 && rest < minMovable {
+			rest = 0
 		}
+		pn.movable[name] = rest
+		sum += rest
+	}
+	if sum <= 0 {
+		pn.movable = want
 	}
 }
 
@@ -195,42 +216,78 @@
 	return all
 }
 
-// chooseRegion chooses the region of a request among the usable regions. A request with an object (named is true) goes to the
-// region that the object hashes to, unless that region has exceeded its weight by more than maxExcess. Other requests go to the
-// region that is furthest below its weight.
-func (pn *plan) chooseRegion(object uint64, named bool, usable func(id.Region) bool) (id.Region, bool) {
-	var sum float64
-	names := make([]id.Region, 0, len(pn.weights))
-	for name, weight := range pn.weights {
-		if weight > 0 && usable(name) {
-			names = append(names, name)
-			sum += weight
-		}
+// chooseRegion chooses the region of a movable request among the usable regions, as far as possible among those that have not
+// exceeded their weight. A request with an object (named is true) goes to the region that the object hashes to, unless that region
+// has exceeded its weight by more than maxExcess. Other requests go to the region that is furthest below its weight.
+func (pn *plan) chooseRegion(object uint64, named bool, usable func(id.Region) bool, exceeded map[id.Region]bool) (id.Region, bool) {
+	weights := positive(pn.movable, func(name id.Region) bool { return usable(name) && !exceeded[name] })
+	if len(weights) == 0 {
+		weights = positive(pn.weights, func(name id.Region) bool { return usable(name) && !exceeded[name] })
 	}
-	if sum <= 0 {
-		return "", false
+	if len(weights) == 0 {
+		weights = positive(pn.weights, usable)
 	}
-	var preferred, behind id.Region
-	best := -1.0
-	for _, name := range names {
-		// Weighted rendezvous hashing: an object keeps its region as long as the weights do not change.
-		unit := unitOf(rendezvous.Mix(object ^ rendezvous.Hash(string(name))))
-		if score := pn.weights[name] / sum / -logUnit(unit); score > best {
-			best, preferred = score, name
-		}
-		if behind == "" || pn.excess[name] < pn.excess[behind] {
-			behind = name
-		}
+	if len(weights) == 0 {
+		return "", false
 	}
+	preferred := hashRegion(object, weights)
 	if !named || pn.excess[preferred] > maxExcess {
-		preferred = behind
+		for name := range weights {
+			if pn.excess[name] < pn.excess[preferred] {
+				preferred = name
+			}
+		}
 	}
-	for _, name := range names {
+	for name, weight := range weights {
 		got := 0.0
 		if name == preferred {
 			got = 1
 		}
-		pn.excess[name] += excessWeight * (got - pn.weights[name]/sum - pn.excess[name])
+		pn.excess[name] += excessWeight * (got - weight - pn.excess[name])
 	}
 	return preferred, true
 }
+
+// boundWeights returns the weights of the usable regions for requests that may run only in some regions. They go to the same regions
+// as movable ones if they can.
+func (pn *plan) boundWeights(usable func(id.Region) bool) map[id.Region]float64 {
+	if weights := positive(pn.movable, usable); len(weights) > 0 {
+		return weights
+	}
+	return positive(pn.weights, usable)
+}
+
+// chooseBound chooses the region of a request that may run only in some regions.
+func (pn *plan) chooseBound(object uint64, usable func(id.Region) bool) (id.Region, bool) {
+	weights := pn.boundWeights(usable)
+	return hashRegion(object, weights), len(weights) > 0
+}
+
+// positive returns the positive weights of the usable regions, scaled to a sum of one.
+func positive(weights map[id.Region]float64, usable func(id.Region) bool) map[id.Region]float64 {
+	var sum float64
+	all := make(map[id.Region]float64, len(weights))
+	for name, weight := range weights {
+		if weight > 0 && usable(name) {
+			all[name] = weight
+			sum += weight
+		}
+	}
+	for name := range all {
+		all[name] /= sum
+	}
+	return all
+}
+
+// hashRegion chooses a region by weighted rendezvous hashing: an object keeps its region as long as the weights do not change.
+func hashRegion(object uint64, weights map[id.Region]float64) id.Region {
+	var preferred id.Region
+	best := -1.0
+	for name, weight := range weights {
+		unit := unitOf(rendezvous.Mix(object ^ rendezvous.Hash(string(name))))
+		if score := weight / -logUnit(unit); score > best {
+			best, preferred = score, name
+		}
+	}
+	return preferred
+}
--- a/internal/experiment/pause.go
+++ b/internal/experiment/pause.go
@@ -278,7 +278,7 @@
 	if pr.counts(rq.arrived) {
 		pr.result.Requests++
 	}
-	pr.vms[nr].placer.CountArrival(&rq.rq)
+	pr.vms[nr].placer.CountArrival(pr.clock(), &rq.rq)
 	pr.vms[nr].budget.CountRequest(pr.clock(), "desk")
 	pr.send(rq)
 }
