Gateway: leave the read deadline alone once the body has been read

Callers of requests with a body that ended at their deadline got no response but a closed connection, since: for each refusal it sets the read deadline to the end of the request's time limit. When the whole body has been read, net/http already waits for the end of the connection; an expired deadline ends this wait, and the connection is closed before the response is written.

The deadline is now set only while a part of the body has not been read.

--- a/io/gateway/forward.go
+++ b/io/gateway/forward.go
@@ -167,7 +167,7 @@
 // limitBodyTime limits the time for the rest of the body. net/http reads up to 256 KiB of it before it writes a refusal, and a caller
 // that stops sending must not hold up the response and its connection for ever.
 func (rq *request) limitBodyTime() {
-	if rq.r.ContentLength == 0 {
+	if rq.r.ContentLength == 0 || rq.bodyRead {
 		return
 	}
 	limit := headerTimeout
--- a/io/gateway/request.go
+++ b/io/gateway/request.go
@@ -36,6 +36,7 @@
 	placement placement.Request
 	body      []byte    // nil if there is no body; its beginning if stream is set
 	stream    io.Reader // the whole body, if it is too large to be buffered
+	bodyRead  bool      // the whole body is in body
 	ctx       context.Context
 
 	attempts int
@@ -243,7 +244,8 @@
 	}
 	rq.body = buf.Bytes()
 	rq.placement.Size = num
-	if num == maxBufferedBody && rq.r.ContentLength != maxBufferedBody {
+	rq.bodyRead = num < maxBufferedBody || rq.r.ContentLength == maxBufferedBody
+	if !rq.bodyRead {
 		rq.stream = io.MultiReader(bytes.NewReader(rq.body), src)
 	}
 	return nil
