Placement: a VM without a plan refuses nothing for its region's mix

Found when the diff was read: without weights, each region counted as one that has exceeded its weight, so a VM without a plan, such as one that has just started, would refuse requests that may run in another region only from the 41st on. TestNoPlanRefusesNothing fails before: "request 40 was refused: shift".

--- a/core/placement/mix.go
+++ b/core/placement/mix.go
@@ -161,11 +161,11 @@
 }
 
 // exceeded returns the regions whose part of this VM's requests exceeds their weight by more than maxDeviation and the given multiple
-// of the standard deviation of the part.
+// of the standard deviation of the part. Without weights there are none.
 func (mx *mix) exceeded(now time.Time, weights map[id.Region]float64, chance float64) map[id.Region]bool {
 	counts := mx.placed.counts(now)
 	sum := total(counts)
-	if sum < minJudged {
+	if weights == nil || sum < minJudged {
 		return nil
 	}
 	over := map[id.Region]bool{}
--- a/core/placement/notice.go
+++ b/core/placement/notice.go
@@ -14,8 +14,8 @@
 	// longer than a registration can be missing by mistake.
 	leavingMemory = 10 * time.Minute
 	// After a pause, the fraction of requests that may be sent to the target grows from firstReturnFraction to 1 within half of the
-	// length of the pause, but minReturnTime at least and maxReturnTime at most. Otherwise all VMs would send their whole load at the same moment. A longer return
-	// costs callers more than it spares the target, because the other targets are overloaded meanwhile.
+	// length of the pause, but minReturnTime at least and maxReturnTime at most. Otherwise all VMs would send their whole load at the
+	// same moment. A longer return costs callers more than it spares the target, because the other targets are overloaded meanwhile.
 	firstReturnFraction = 0.1
 	minReturnTime       = 250 * time.Millisecond // for VMs that are told shortly before the end of the pause
 	maxReturnTime       = time.Second
--- a/core/placement/shift_test.go
+++ b/core/placement/shift_test.go
@@ -302,3 +302,20 @@
 		}
 	}
 }
+
+// Guards against refusals of requests that may run in another region only, while a VM that has just started has no plan to exceed.
+func TestNoPlanRefusesNothing(t *testing.T) {
+	pc := newPlacer("a")
+	pc.SetTargets(start, append(targets(4, "north"), targets(4, "south")...))
+	for nr := range 200 {
+		rq := request(fmt.Sprint(nr))
+		rq.Allowed = only("south")
+		now := start.Add(time.Duration(nr) * time.Millisecond)
+		pc.CountArrival(now, rq)
+		ch, rf := pc.Pick(now, rq)
+		if rf != nil {
+			t.Fatalf("request %d was refused: %s", nr, rf.Reason)
+		}
+		finish(pc, now, ch, time.Millisecond)
+	}
+}
