Read the responses of targets, VMs and the store by the grammar of RFC 9112

Cause: net/http leaves out fields with invalid names, joins folded lines and passes on statuses such as 999; and a reset that the kernel reports to the writer alone looks to the reader like an orderly end, so that a part of a response without a length counts as the whole one.

Change: io/httpframe checks the bytes below net/http, for targets, health probes, relays, the store and the operator's command. Invalid responses are counted by reason and get 502, or another target if the request is idempotent.

--- a/internal/cli/status_gateway.go
+++ b/internal/cli/status_gateway.go
@@ -4,11 +4,13 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
 
 	"damasklatch/io/gateway"
+	"damasklatch/io/httpframe"
 )
 
 // maxTargetsBytes is the maximum length of a gateway's report of its targets.
@@ -53,13 +55,16 @@
 	return nil
 }
 
+// statusClient opens a connection for each request.
+var statusClient = &http.Client{Transport: &http.Transport{DialContext: httpframe.Checked((&net.Dialer{}).DialContext), DisableKeepAlives: true}}
+
 // fetchTargets asks a gateway for its targets.
 func fetchTargets(ctx context.Context, address string) ([]gateway.TargetReport, error) {
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+gateway.TargetsPath, nil)
 	if err != nil {
 		return nil, err
 	}
-	resp, err := http.DefaultClient.Do(r)
+	resp, err := statusClient.Do(r)
 	if err != nil {
 		return nil, err
 	}
--- a/io/gateway/attempt.go
+++ b/io/gateway/attempt.go
@@ -64,6 +64,7 @@
 		oc = rq.readResponse(ctx, lk, resp)
 	}
 	oc.target = ch.ID
+	rq.sv.op.Metrics.countInvalid(oc.cause)
 	if oc.timedOut() && rq.hadLittleTime(sent) {
 		oc.kind = placement.Dropped
 	}
@@ -162,6 +163,7 @@
 		st.kind = placement.Dropped
 	default:
 		st.kind = placement.Broken
+		st.end.rq.sv.op.Metrics.countInvalid(err)
 	}
 	return num, err
 }
--- a/io/gateway/metrics.go
+++ b/io/gateway/metrics.go
@@ -7,6 +7,7 @@
 
 	"damasklatch/core/placement"
 	"damasklatch/io/asynclog"
+	"damasklatch/io/httpframe"
 	"damasklatch/io/objects"
 
 	"github.com/uber-go/tally/v4"
@@ -23,6 +24,7 @@
 	notices  map[noticeKind]tally.Counter
 	unstated map[int]tally.Counter // by the status of the target's response
 	targets  map[placement.TargetState]tally.Gauge
+	invalid  map[httpframe.Reason]tally.Counter
 }
 
 // noticeKind classifies what targets say about themselves in responses.
@@ -75,6 +77,10 @@
 		scope: sc, latency: sc.Histogram("request_latency", latencyBuckets),
 		dropped: sc.Counter("log_lines_dropped"), notices: map[noticeKind]tally.Counter{},
 		unstated: map[int]tally.Counter{}, targets: map[placement.TargetState]tally.Gauge{},
+		invalid: map[httpframe.Reason]tally.Counter{},
+	}
+	for _, rs := range httpframe.Reasons {
+		mt.invalid[rs] = sc.Tagged(map[string]string{"reason": string(rs)}).Counter("invalid_responses")
 	}
 	for _, st := range placement.TargetStates {
 		mt.targets[st] = sc.Tagged(map[string]string{"state": string(st)}).Gauge("targets")
@@ -125,6 +131,13 @@
 // countUnstated counts a response of a target whose status is one of notRunStatuses, without a statement of the target.
 func (mt *Metrics) countUnstated(status int) { mt.unstated[status].Inc(1) }
 
+// countInvalid counts a response that was discarded, if the error says that it is no valid one.
+func (mt *Metrics) countInvalid(err error) {
+	if rs, ok := httpframe.ReasonOf(err); ok {
+		mt.invalid[rs].Inc(1)
+	}
+}
+
 func (mt *Metrics) countResult(rs Reason, loss Loss, took time.Duration) {
 	mt.results[rs].Inc(1)
 	if loss != "" {
--- a/io/inbound/framer.go
+++ b/io/inbound/framer.go
@@ -6,6 +6,8 @@
 	"strings"
 
 	"github.com/pkg/errors"
+
+	"damasklatch/io/httpframe"
 )
 
 // framer finds the end of a request in the bytes of a connection. It accepts only requests that have a single reading. The zero
@@ -39,14 +41,8 @@
 	inUnknown // after something ambiguous
 )
 
-const (
-	// maxPrefixBytes is the number of bytes of a line that are kept. It suffices for the fields that determine the framing.
-	maxPrefixBytes = 128
-	// maxLengthDigits is the number of decimal digits that always fit into an int64.
-	maxLengthDigits = 18
-	// maxChunkDigits is the number of hexadecimal digits of a chunk size that always fit into an int64.
-	maxChunkDigits = 15
-)
+// maxPrefixBytes is the number of bytes of a line that are kept. It suffices for the fields that determine the framing.
+const maxPrefixBytes = 128
 
 var errChunk = errors.New("malformed chunked encoding")
 
@@ -177,7 +173,7 @@
 	if fr.hasLength {
 		return errors.New("more than one Content-Length")
 	}
-	num, ok := parseNumber(val, 10, maxLengthDigits)
+	num, ok := httpframe.ParseNumber([]byte(val), 10, httpframe.MaxLengthDigits)
 	if !ok || length > maxPrefixBytes {
 		return errors.New("invalid Content-Length")
 	}
@@ -211,7 +207,7 @@
 // endChunkSize handles the line before a chunk: a size in hexadecimal digits and an optional extension.
 func (fr *framer) endChunkSize(line []byte) error {
 	digits, _, _ := bytes.Cut(line, []byte(";"))
-	num, ok := parseNumber(string(digits), 16, maxChunkDigits)
+	num, ok := httpframe.ParseNumber(digits, 16, httpframe.MaxChunkDigits)
 	if !ok {
 		return errChunk
 	}
@@ -222,22 +218,6 @@
 	return nil
 }
 
-// parseNumber parses a non-empty sequence of digits of a base, without a sign.
-func parseNumber(text string, base int64, most int) (int64, bool) {
-	if text == "" || len(text) > most {
-		return 0, false
-	}
-	sum := int64(0)
-	for _, char := range strings.ToLower(text) {
-		digit := int64(strings.IndexRune("0123456789abcdef", char))
-		if digit < 0 || digit >= base {
-			return 0, false
-		}
-		sum = sum*base + digit
-	}
-	return sum, true
-}
-
 // begun reports whether a byte of the request has been seen. Empty lines before it don't count.
 func (fr *framer) begun() bool {
 	return fr.state != inHeader || fr.started || fr.lineLength > 0 || fr.sawCR
--- a/io/objects/relay.go
+++ b/io/objects/relay.go
@@ -15,6 +15,8 @@
 
 	"github.com/gorilla/mux"
 	"github.com/pkg/errors"
+
+	"damasklatch/io/httpframe"
 )
 
 // MirrorPath is the path pattern (gorilla/mux) at which Mirror.Handler must be served.
@@ -89,7 +91,7 @@
 	dl := &net.Dialer{Timeout: relayDialTimeout}
 	return &RelayReader{
 		store: store, sources: sources, seeds: seeds, log: log, avoidUntil: map[string]time.Time{},
-		http: &http.Client{Transport: &http.Transport{DialContext: dl.DialContext, MaxIdleConnsPerHost: 4}},
+		http: &http.Client{Transport: &http.Transport{DialContext: httpframe.Checked(dl.DialContext), MaxIdleConnsPerHost: 4}},
 	}
 }
 
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"damasklatch/io/httpframe"
 	"damasklatch/io/peer/peerpb"
 )
 
@@ -62,7 +63,7 @@
 	return &Clients{
 		sc: op.Secret,
 		hc: &http.Client{Transport: &http.Transport{
-			DialContext:         op.Dial,
+			DialContext:         httpframe.Checked(op.Dial),
 			MaxIdleConnsPerHost: 1,
 			IdleConnTimeout:     idleTimeout,
 		}},
--- a/io/store/client.go
+++ b/io/store/client.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"damasklatch/io/httpframe"
 	"github.com/pkg/errors"
 )
 
@@ -61,7 +62,7 @@
 		address: op.Address.String(),
 		timeout: op.Timeout,
 		transport: &http.Transport{
-			DialContext:            dialer.DialContext,
+			DialContext:            httpframe.Checked(dialer.DialContext),
 			DisableCompression:     true, // so that the size limits apply to the bytes sent
 			MaxIdleConns:           maxIdleConnections,
 			MaxIdleConnsPerHost:    maxIdleConnections,
--- a/io/target/backend.go
+++ b/io/target/backend.go
@@ -55,7 +55,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &conn{Conn: nc, lastRead: time.Now()}, nil
+			return newConn(nc), nil
 		},
 		Protocols:              protocols,
 		DisableCompression:     true,
--- a/io/target/body.go
+++ b/io/target/body.go
@@ -4,6 +4,8 @@
 	"io"
 	"net/http"
 	"sync"
+
+	"damasklatch/io/httpframe"
 )
 
 // requestBody is the request body of one attempt. A request always has one, and sets no GetBody: with a nil body,
@@ -91,3 +93,15 @@
 	rb.once.Do(func() { rb.onEnd(http.ErrBodyReadAfterClose) })
 	return err
 }
+
+// checkedBody is the body of a response. Its errors tell whether the target sent something else than a valid body.
+type checkedBody struct {
+	io.ReadCloser
+	cn *httpframe.Conn
+}
+
+// Read implements io.Reader.
+func (cb *checkedBody) Read(buf []byte) (int, error) {
+	num, err := cb.ReadCloser.Read(buf)
+	return num, cb.cn.Explain(err)
+}
--- a/io/target/client.go
+++ b/io/target/client.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"damasklatch/core/id"
+	"damasklatch/io/httpframe"
 )
 
 // Client sends requests to one target that registered itself, and keeps connections to it. It sends each request once;
@@ -110,6 +111,7 @@
 		err = errForeignResponse
 	}
 	if err == nil {
+		resp.Body = &checkedBody{resp.Body, ex.checkedConn()}
 		return resp, nil
 	}
 	ex.body.stop()
@@ -120,6 +122,13 @@
 	return nil, er
 }
 
+// checkedConn returns the connection of an exchange that got a response.
+func (ex *exchange) checkedConn() *httpframe.Conn {
+	ex.mu.Lock()
+	defer ex.mu.Unlock()
+	return ex.conn.cn.checked
+}
+
 // accepts reports whether the response belongs to the request. If the target has sent an additional response, every later response
 // on the connection arrives one request late, so a connection with a response to another request is closed. A response without an
 // ID can't be told from additional bytes of the target. It is accepted if it is the first of its connection or if the request has
@@ -167,6 +176,7 @@
 	if info.Reused {
 		maxIdle = time.Duration(ex.client.idleTimeout.Load())
 	}
+	cn.checked.SetMethod(ex.out.Method)
 	ca := cn.beginAttempt(time.Now(), maxIdle, ex.out.ID)
 	if ex.out.MaySend != nil && !ex.out.MaySend() {
 		ca.withdraw()
@@ -182,11 +192,13 @@
 	ex.mu.Lock()
 	ca := ex.conn
 	ex.mu.Unlock()
-	er := &Error{Target: ex.client.name, Cause: err}
+	er := &Error{Target: ex.client.name}
 	var blocked error
 	if ca != nil {
+		err = ca.cn.checked.Explain(err)
 		er.MayHaveRun, blocked = ca.blockWrites()
 	}
+	er.Cause = err
 	_, bodyErr := ex.body.state()
 	switch {
 	case errors.Is(bodyErr, ErrTooLarge):
@@ -201,6 +213,8 @@
 		er.Kind = DialFailed
 	case errors.Is(err, errForeignResponse):
 		er.Kind = ForeignResponse
+	case isInvalid(err):
+		er.Kind = InvalidResponse
 	case errors.Is(blocked, errWithdrawn):
 		er.Kind, er.Cause = Withdrawn, blocked
 	case er.MayHaveRun:
--- a/io/target/client_test.go
+++ b/io/target/client_test.go
@@ -237,7 +237,7 @@
 // the connection to the next request, of which nothing has been written yet.
 func TestForeignResponseMayHaveRun(t *testing.T) {
 	ex := &exchange{client: NewClient("t", "127.0.0.1:1", time.Second), out: &OutgoingRequest{ID: "a"}, body: &requestBody{}}
-	cn := &conn{Conn: discardingConn{}}
+	cn := newConn(discardingConn{})
 	ex.conn = cn.beginAttempt(time.Now(), 0, "a")
 	if _, err := cn.Write([]byte("POST")); err != nil {
 		t.Fatal(err)
@@ -252,7 +252,7 @@
 // writes of the request with the error of the read that was waiting on it, which does not tell that another connection will do.
 func TestUnsuitableConnectionIsRecognized(t *testing.T) {
 	unsuitable := func() *connAttempt {
-		cn := &conn{}
+		cn := newConn(nil)
 		cn.beginAttempt(time.Now(), 0, "a")
 		return cn.beginAttempt(time.Now(), 0, "a")
 	}
@@ -383,7 +383,7 @@
 // could not be identified: nothing of it has been sent, so another connection can carry it.
 func TestRetiredConnectionIsReplaced(t *testing.T) {
 	Convey("an attempt that has begun", t, func() {
-		cn := &conn{Conn: discardingConn{}}
+		cn := newConn(discardingConn{})
 		earlier := cn.beginAttempt(time.Now(), 0, "a")
 		later := cn.beginAttempt(time.Now(), 0, "b")
 		Convey("and has not written is not sent", func() {
@@ -407,7 +407,7 @@
 // Guards against dialing a target again and again that closes each new connection because it accepts no more.
 func TestClosedNewConnectionIsNotReplaced(t *testing.T) {
 	Convey("a connection that is closed before the attempt writes", t, func() {
-		cn := &conn{Conn: discardingConn{}}
+		cn := newConn(discardingConn{})
 		ca := cn.beginAttempt(time.Now(), 0, "a")
 		reused := false
 		Convey("new", func() {})
--- a/io/target/conn.go
+++ b/io/target/conn.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"damasklatch/core/id"
+	"damasklatch/io/httpframe"
 )
 
 // maxFreshIdle is the idle time after which a connection no longer carries non-idempotent requests. A connection that was
@@ -41,7 +42,8 @@
 
 // conn is a connection that records for each attempt whether it has written, and can block further writes of an attempt.
 type conn struct {
-	net.Conn
+	net.Conn // checked
+	checked  *httpframe.Conn
 
 	mu       sync.Mutex
 	lastRead time.Time
@@ -52,6 +54,11 @@
 	retired  bool // carries no further attempts
 }
 
+func newConn(nc net.Conn) *conn {
+	checked := httpframe.NewConn(nc)
+	return &conn{Conn: checked, checked: checked, lastRead: time.Now()}
+}
+
 // connAttempt is an attempt of a request on a connection. net/http may give the connection to the next request before the attempt
 // has ended, so each attempt has a state of its own.
 type connAttempt struct {
--- a/io/target/do.go
+++ b/io/target/do.go
@@ -141,7 +141,7 @@
 	switch err.Kind {
 	case DialFailed, ResetBeforeWrite:
 		return true
-	case ResetAfterWrite, FirstByteTimeout, ForeignResponse, Refused:
+	case ResetAfterWrite, FirstByteTimeout, ForeignResponse, InvalidResponse, Refused:
 		return cl.rq.Idempotent
 	default:
 		return false
@@ -181,7 +181,7 @@
 
 func balanceKind(kd ErrorKind) balance.ResultKind {
 	switch kd {
-	case DialFailed, ResetBeforeWrite, ResetAfterWrite, ForeignResponse:
+	case DialFailed, ResetBeforeWrite, ResetAfterWrite, ForeignResponse, InvalidResponse:
 		return balance.Broken
 	case TimedOut, FirstByteTimeout:
 		return balance.TimedOut
@@ -288,6 +288,7 @@
 	if info.Reused && !at.cl.rq.Idempotent {
 		maxIdle = maxFreshIdle
 	}
+	cn.checked.SetMethod(at.cl.rq.Method)
 	ca := cn.beginAttempt(time.Now(), maxIdle, "")
 	at.mu.Lock()
 	defer at.mu.Unlock()
@@ -324,11 +325,13 @@
 	at.mu.Lock()
 	ca, gaveUp := at.conn, at.retryTaken
 	at.mu.Unlock()
-	er := &Error{Target: at.be.name, Cause: err}
+	er := &Error{Target: at.be.name}
 	var blocked error
 	if ca != nil {
+		err = ca.cn.checked.Explain(err)
 		er.MayHaveRun, blocked = ca.blockWrites()
 	}
+	er.Cause = err
 	_, bodyErr := at.body.state()
 	switch {
 	case errors.Is(bodyErr, ErrTooLarge):
@@ -343,6 +346,8 @@
 		er.Kind = Canceled
 	case ca == nil:
 		er.Kind = DialFailed
+	case isInvalid(err):
+		er.Kind = InvalidResponse
 	case er.MayHaveRun:
 		er.Kind = ResetAfterWrite
 	case blocked != nil:
--- a/io/target/error.go
+++ b/io/target/error.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"damasklatch/core/id"
+	"damasklatch/io/httpframe"
 )
 
 // ErrorKind classifies why a request got no response.
@@ -21,6 +22,7 @@
 	FirstByteTimeout ErrorKind = "silent"       // no first response byte to an idempotent request within the time limit
 	Refused          ErrorKind = "refused"      // the target reports that it has not run the request
 	ForeignResponse  ErrorKind = "foreign"      // the response belongs to another request
+	InvalidResponse  ErrorKind = "invalid"      // the target sent something else than an HTTP response
 	Canceled         ErrorKind = "canceled"     // the caller disconnected, or its body ended early
 	Withdrawn        ErrorKind = "withdrawn"    // the request was withdrawn before anything was sent
 	TooLarge         ErrorKind = "too_large"    // the request body is larger than the route allows
@@ -52,5 +54,11 @@
 	return msg
 }
 
+// isInvalid reports whether an error means that the target sent something else than an HTTP response.
+func isInvalid(err error) bool {
+	_, ok := httpframe.ReasonOf(err)
+	return ok
+}
+
 // Unwrap returns the cause.
 func (er *Error) Unwrap() error { return er.Cause }
--- a/io/target/pool.go
+++ b/io/target/pool.go
@@ -74,7 +74,7 @@
 		queues: map[*balance.Set]*waitqueue.Queue{}, backends: map[id.Target]*backend{}, shareCount: 1,
 	}
 	for _, name := range []ErrorKind{
-		NoTarget, DialFailed, ResetBeforeWrite, ResetAfterWrite, TimedOut, FirstByteTimeout, ForeignResponse, Refused, Canceled, TooLarge, "attempt", "retry", "stale",
+		NoTarget, DialFailed, ResetBeforeWrite, ResetAfterWrite, TimedOut, FirstByteTimeout, ForeignResponse, InvalidResponse, Refused, Canceled, TooLarge, "attempt", "retry", "stale",
 	} {
 		pl.metrics[string(name)] = op.Metrics.Tagged(map[string]string{"kind": string(name)}).Counter("target_attempts")
 	}
