Keep in force what a store that was restored from a copy has lost

Cause: revisions went back and were given out again for other contents, and nothing read Store-Era. A withdrawn key worked again on VMs that had missed the change, drained targets got requests, registrations of VMs stayed missing, and a watch whose revision the store had again missed what it stood for.

Change: objects.Revision carries the era above the number, so each comparison orders two histories. core/restore keeps drains, removals and evacuations for 10 s, the mirror goes on serving the newest configuration, a VM that is told of a newer one gets no evidence from the store's older one and asks for it, and a VM whose registration is missing writes it again.

--- a/core/placement/notice.go
+++ b/core/placement/notice.go
@@ -34,8 +34,8 @@
 	address        string
 }
 
-// namedProcess is a process of the target with a name.
-type namedProcess struct {
+// ProcessID is a process of the target with a name.
+type ProcessID struct {
 	name id.Target
 	process
 }
@@ -64,12 +64,12 @@
 	}
 	pc.mu.Lock()
 	defer pc.mu.Unlock()
-	key := ch.namedProcess()
+	key := ch.ProcessID()
 	was := pc.notices[key].noticeState
 	next := was.after(now, nt)
 	pc.notices[key] = heldNotice{next, now}
 	ts := pc.targets[ch.ID]
-	if ts == nil || ts.namedProcess() != key {
+	if ts == nil || ts.ProcessID() != key {
 		return false
 	}
 	ts.noticeState = next
@@ -108,12 +108,13 @@
 
 func (tg *Target) process() process { return process{tg.StartUnixMilli, tg.Address} }
 
-func (tg *Target) namedProcess() namedProcess { return namedProcess{tg.ID, tg.process()} }
+// ProcessID identifies the process that the registration is of.
+func (tg *Target) ProcessID() ProcessID { return ProcessID{tg.ID, tg.process()} }
 
 // restoreNotice applies the notice that the process of a registered target has given before. Notices are kept by process and not by
 // name: an old registration of a process that was replaced may come back, from the store or from a VM that relays it.
 func (pc *Placer) restoreNotice(now time.Time, ts *targetState) {
-	key := ts.namedProcess()
+	key := ts.ProcessID()
 	if hn, ok := pc.notices[key]; ok {
 		ts.noticeState = hn.noticeState
 		pc.notices[key] = heldNotice{hn.noticeState, now}
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -54,7 +54,7 @@
 	pools       map[id.Pool]*pool
 	warmups     map[id.Pool]Warmup
 	evacuated   map[id.FailureDomain]bool
-	notices     map[namedProcess]heldNotice // of the processes that have given one
+	notices     map[ProcessID]heldNotice // of the processes that have given one
 	selfHash    uint64
 	rankBuffer  []rankedTarget
 }
@@ -84,7 +84,7 @@
 func New(op Options) *Placer {
 	return &Placer{
 		op: op, vms: map[id.Region][]id.VM{op.Region: {op.Self}}, targets: map[id.Target]*targetState{}, pools: map[id.Pool]*pool{},
-		warmups: map[id.Pool]Warmup{}, evacuated: map[id.FailureDomain]bool{}, notices: map[namedProcess]heldNotice{},
+		warmups: map[id.Pool]Warmup{}, evacuated: map[id.FailureDomain]bool{}, notices: map[ProcessID]heldNotice{},
 		selfHash: rendezvous.Hash(string(op.Self)),
 	}
 }
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -219,6 +219,17 @@
 	rs.unregistered[rp.VM] = now
 }
 
+// Member returns a copy of the entry of a VM, and false if there is none.
+func (rs *Roster) Member(name id.VM) (Member, bool) {
+	rs.mu.RLock()
+	defer rs.mu.RUnlock()
+	mb, ok := rs.members[name]
+	if !ok {
+		return Member{}, false
+	}
+	return *mb, true
+}
+
 // Members returns copies of all entries, in no particular order.
 func (rs *Roster) Members() []Member {
 	rs.mu.RLock()
--- a/io/gateway/control.go
+++ b/io/gateway/control.go
@@ -12,6 +12,7 @@
 	"damasklatch/core/placement"
 	"damasklatch/core/quota"
 	"damasklatch/core/roster"
+	"damasklatch/core/routing"
 	"damasklatch/io/objects"
 )
 
@@ -98,7 +99,11 @@
 	progress      map[objects.Kind]*watchProgress
 	version       id.Generation // of the configuration in force; 0 if there is none
 	targets       map[string]placement.Target
-	retained      map[string]time.Time  // targets whose registration is missing, and until when they are kept
+	retained      map[string]time.Time      // targets whose registration is missing, and until when they are kept
+	evacuated     map[id.FailureDomain]bool // as in the store
+	restored      restoredStore
+	registered    bool                  // the registration of this VM was seen in the store
+	ahead         aheadPeer             // the VM that has reported the highest version of the configuration
 	loaded        map[objects.Kind]bool // kinds whose objects are known
 	lastTick      time.Time
 	nextRefresh   time.Time
@@ -109,6 +114,8 @@
 	lost        bool      // last seen value of lostStore
 	lapses      int64     // last seen number of lapses of the lease
 
+	newest            newestConfig
+	fetches           chan string // relay addresses of VMs with a newer configuration
 	isReader          atomic.Bool // this VM reads the store on behalf of others
 	wantRead          atomic.Bool // the lease is old, so the configuration is read from the store
 	ready             atomic.Bool
@@ -131,6 +138,16 @@
 	kind    objects.Kind
 	sn      objects.Snapshot
 	changed bool
+	config  decodedConfig // of the configuration, if changed is set
+}
+
+// configEvent is a configuration that was fetched from another VM.
+type configEvent struct{ decodedConfig }
+
+// decodedConfig is a configuration, or the reason why it is not valid.
+type decodedConfig struct {
+	config routing.Config
+	err    error
 }
 
 // statusEvent is a received status report and the time of its arrival.
@@ -141,6 +158,7 @@
 
 func (snapshotEvent) isEvent() {}
 func (statusEvent) isEvent()   {}
+func (configEvent) isEvent()   {}
 
 // inboxSize is the maximum number of events that wait for the control loop.
 const inboxSize = 1024
@@ -154,7 +172,8 @@
 		inbox: make(chan event, inboxSize), informers: map[objects.Kind]*objects.Informer{}, relays: map[objects.Kind]*objects.RelayReader{},
 		latestChanges: map[objects.Kind]objects.Revision{}, progress: map[objects.Kind]*watchProgress{},
 		targets: map[string]placement.Target{}, retained: map[string]time.Time{},
-		loaded: map[objects.Kind]bool{}, shortWatch: map[objects.Kind]*atomic.Bool{},
+		loaded: map[objects.Kind]bool{}, shortWatch: map[objects.Kind]*atomic.Bool{}, fetches: make(chan string, 1),
+		evacuated: map[id.FailureDomain]bool{},
 	}
 	ct.mirror = objects.NewMirror(pt.Lease.Now, ct.copyLimit)
 	ks := pt.Adapter.Kinds()
@@ -212,6 +231,8 @@
 		ct.applySnapshot(ms)
 	case statusEvent:
 		ct.applyStatus(ms)
+	case configEvent:
+		ct.setConfig(time.Now(), ms.decodedConfig)
 	}
 }
 
@@ -222,7 +243,9 @@
 	}
 	ct.lastTick = now
 	ct.dropRetained(now)
+	ct.endRestore(now)
 	ct.catchUp(now)
+	ct.fetchNewer(now)
 	if !now.Before(ct.nextRefresh) {
 		ct.refreshState(now)
 	}
--- a/io/gateway/daemon.go
+++ b/io/gateway/daemon.go
@@ -214,7 +214,8 @@
 	}
 	dc := &dropCounter{log: lc.Lines, metrics: lc.Server.op.Metrics}
 	tg := &targetGauges{placer: lc.Placer, metrics: lc.Server.op.Metrics}
-	bodies := []func(context.Context){rn.control.loop, rn.conn.Run, rg.run, lc.Reloader.run, dc.run, tg.run}
+	cf := &configFetcher{rn.control}
+	bodies := []func(context.Context){rn.control.loop, rn.conn.Run, rg.run, lc.Reloader.run, dc.run, tg.run, cf.run}
 	for _, in := range rn.control.informers {
 		bodies = append(bodies, in.Run)
 	}
--- a/io/gateway/members.go
+++ b/io/gateway/members.go
@@ -29,6 +29,7 @@
 	if rp.EchoOf == ct.incarnation && rp.Version == ct.version {
 		ct.Lease.RenewFromPeer(rp.Echo, rp.EvidenceAge)
 	}
+	ct.noteVersion(ms.at, rp)
 	for name, rev := range rp.Changes {
 		if pg := ct.progress[objects.Kind(name)]; pg != nil {
 			pg.announce(ms.at, objects.Revision(rev))
--- a/io/gateway/metrics.go
+++ b/io/gateway/metrics.go
@@ -25,6 +25,7 @@
 	unstated map[int]tally.Counter // by the status of the target's response
 	targets  map[placement.TargetState]tally.Gauge
 	invalid  map[httpframe.Reason]tally.Counter
+	restores tally.Counter
 }
 
 // noticeKind classifies what targets say about themselves in responses.
@@ -77,7 +78,7 @@
 		scope: sc, latency: sc.Histogram("request_latency", latencyBuckets),
 		dropped: sc.Counter("log_lines_dropped"), notices: map[noticeKind]tally.Counter{},
 		unstated: map[int]tally.Counter{}, targets: map[placement.TargetState]tally.Gauge{},
-		invalid: map[httpframe.Reason]tally.Counter{},
+		invalid: map[httpframe.Reason]tally.Counter{}, restores: sc.Counter("store_restores"),
 	}
 	for _, rs := range httpframe.Reasons {
 		mt.invalid[rs] = sc.Tagged(map[string]string{"reason": string(rs)}).Counter("invalid_responses")
@@ -131,6 +132,9 @@
 // countUnstated counts a response of a target whose status is one of notRunStatuses, without a statement of the target.
 func (mt *Metrics) countUnstated(status int) { mt.unstated[status].Inc(1) }
 
+// countRestore counts a restore of the store from a copy.
+func (mt *Metrics) countRestore() { mt.restores.Inc(1) }
+
 // countInvalid counts a response that was discarded, if the error says that it is no valid one.
 func (mt *Metrics) countInvalid(err error) {
 	if rs, ok := httpframe.ReasonOf(err); ok {
--- a/io/gateway/snapshot.go
+++ b/io/gateway/snapshot.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"time"
 
 	"damasklatch/core/id"
@@ -15,6 +16,7 @@
 func (ct *Controller) applySnapshot(ms snapshotEvent) {
 	now := time.Now()
 	ks := ct.Adapter.Kinds()
+	ct.noteEra(now, ms.sn.Revision.Era())
 	if ms.changed {
 		ct.loaded[ms.kind] = true
 		for _, ob := range ms.sn.Objects {
@@ -22,17 +24,17 @@
 		}
 		switch ms.kind {
 		case ks.Config:
-			ct.setConfig(now, ms.sn.Objects)
+			ct.setConfig(now, ms.config)
 		case ks.Targets:
 			ct.setTargets(now, ms.sn)
 		case ks.Evacuations:
 			ct.setEvacuated(now, ms.sn.Objects)
 		case ks.VMs:
-			ct.setPeers(ms.sn.Objects)
+			ct.setPeers(now, ms.sn.Objects)
 		}
 	}
 	ct.progress[ms.kind].advance(now, ms.sn.Revision)
-	if ms.kind == ks.Config && !ms.sn.Relayed {
+	if ms.kind == ks.Config && !ms.sn.Relayed && !ct.behindPeer() {
 		asked := ms.sn.RequestedAt
 		if !ms.sn.FromList {
 			asked -= lease.Instant(historyLossDelay)
@@ -42,8 +44,8 @@
 }
 
 // setConfig puts the configuration into force if it is valid and newer than the current one.
-func (ct *Controller) setConfig(now time.Time, all map[string]objects.Object) {
-	cfg, err := ct.Adapter.DecodeConfig(all)
+func (ct *Controller) setConfig(now time.Time, dc decodedConfig) {
+	cfg, err := dc.config, dc.err
 	if err != nil {
 		ct.Log.Warn("configuration is not valid, the current one stays in force", "error", err.Error())
 		return
@@ -92,13 +94,14 @@
 		tg.Region = ct.Settings.Regions[tg.FailureDomain]
 		next[name] = tg
 	}
-	settled := sn.RecoveredAt.Add(reregisterTime)
+	recovered := laterOf(sn.RecoveredAt, ct.restored.at)
+	settled := recovered.Add(reregisterTime)
 	for name, tg := range ct.targets {
 		if _, ok := next[name]; ok {
 			continue
 		}
 		until, kept := ct.retained[name]
-		if !kept && !sn.RecoveredAt.IsZero() && now.Before(settled) {
+		if !kept && !recovered.IsZero() && now.Before(settled) {
 			until, kept = settled, true
 			ct.retained[name] = until
 		}
@@ -111,6 +114,7 @@
 	for name := range sn.Objects {
 		delete(ct.retained, name)
 	}
+	ct.restored.noteTargets(now, ct.targets, next)
 	ct.targets = next
 	ct.publishTargets(now)
 }
@@ -119,6 +123,7 @@
 func (ct *Controller) publishTargets(now time.Time) {
 	list := make([]placement.Target, 0, len(ct.targets))
 	for _, tg := range ct.targets {
+		tg.Draining = tg.Draining || ct.restored.targets.Holds(now, tg.ProcessID())
 		list = append(list, tg)
 	}
 	ct.Placer.SetTargets(now, list)
@@ -142,19 +147,31 @@
 	}
 }
 
-// setEvacuated tells the placer which failure domains must get no requests.
+// setEvacuated applies the evacuations in the store.
 func (ct *Controller) setEvacuated(now time.Time, all map[string]objects.Object) {
 	domains := map[id.FailureDomain]bool{}
 	for _, ob := range all {
 		domains[ct.Adapter.DecodeEvacuation(ob)] = true
 	}
+	ct.restored.noteEvacuated(now, ct.evacuated, domains)
+	ct.evacuated = domains
+	ct.publishEvacuated(now)
+}
+
+// publishEvacuated tells the placer which failure domains must get no requests.
+func (ct *Controller) publishEvacuated(now time.Time) {
+	domains := maps.Clone(ct.evacuated)
+	for _, name := range ct.restored.domains.Held(now) {
+		domains[name] = true
+	}
 	ct.Placer.SetEvacuated(now, domains)
 	ct.Log.Info("evacuated failure domains changed", "count", len(domains))
 }
 
 // setPeers applies the registrations of VMs, and makes the loop send reports to them at once.
-func (ct *Controller) setPeers(all map[string]objects.Object) {
+func (ct *Controller) setPeers(now time.Time, all map[string]objects.Object) {
 	ct.peers = ct.peers[:0]
+	registered := false
 	for name, ob := range all {
 		pr, err := ct.Adapter.DecodePeer(ob)
 		if err != nil {
@@ -162,8 +179,10 @@
 			continue
 		}
 		ct.peers = append(ct.peers, pr)
+		registered = registered || pr.VM == ct.self.VM && pr.Incarnation == ct.incarnation
 	}
-	ct.Roster.SetPeers(time.Now(), ct.peers)
+	ct.Roster.SetPeers(now, ct.peers)
 	ct.checkIncarnation()
+	ct.keepRegistered(registered)
 	ct.nextRefresh = time.Time{} // send a report to new VMs at once
 }
--- a/io/gateway/source.go
+++ b/io/gateway/source.go
@@ -20,11 +20,17 @@
 	// Used only by the goroutine of the informer:
 	nextProbe time.Time // earliest time of the next probe of a silent store
 	probing   bool      // the next request is such a probe
+	outdated  bool      // the source has an older configuration than this VM
 }
 
 // apply passes a snapshot to the mirror and the control loop. It runs on the goroutine of the informer.
 func (sr *informerSource) apply(sn objects.Snapshot, changed bool) {
 	ct := sr.ct
+	ev := snapshotEvent{kind: sr.kind, changed: changed}
+	if sr.kind == ct.Adapter.Kinds().Config {
+		ev.config = sr.keepNewest(&sn, changed)
+	}
+	ev.sn = sn
 	ct.mirror.Apply(sr.kind, sn)
 	if sr.kind == ct.Adapter.Kinds().Config && !sn.Relayed {
 		ct.lastStoreResponse.Store(int64(ct.Lease.Now()))
@@ -32,7 +38,7 @@
 			ct.confirmCopies(sn)
 		}
 	}
-	ct.inbox <- snapshotEvent{sr.kind, sn, changed}
+	ct.inbox <- ev
 }
 
 // confirmCopies confirms the copies of the other kinds by a list of the configuration: it has the revision of the whole store, so
--- a/io/objects/informer.go
+++ b/io/objects/informer.go
@@ -126,7 +126,8 @@
 	up, err := in.op.Store.Watch(wctx, in.op.Kind, in.revision, wait)
 	in.setCancel(nil)
 	if errors.Is(err, ErrHistoryLost) {
-		in.op.Log.Info("store no longer has the history of changes, the objects are listed again", "kind", string(in.op.Kind), "revision", int64(in.revision))
+		in.op.Log.Info("store no longer has the history of changes, the objects are listed again", "kind", string(in.op.Kind),
+			"era", int64(in.revision.Era()), "revision", in.revision.Number())
 		in.listed = false
 		return true, nil
 	}
@@ -162,8 +163,12 @@
 	return errors.Is(wctx.Err(), context.Canceled), nil
 }
 
-// errSourceBehind means that the list of another VM is older than the objects of this one. It is not applied.
-var errSourceBehind = errors.New("the list of the other VM is older than the known objects")
+var (
+	// errSourceBehind means that the list of another VM is older than the known objects. It is not applied.
+	errSourceBehind = errors.New("the list of the other VM is older than the known objects")
+	// errEarlierEra means that a list of the store is from before a restore that is already known. It is not applied.
+	errEarlierEra = errors.New("the list is from an earlier era of the store")
+)
 
 func (in *Informer) list(ctx context.Context) error {
 	lctx, cancel := context.WithTimeout(ctx, listTimeout)
@@ -179,6 +184,9 @@
 		}
 		return errSourceBehind
 	}
+	if ls.Revision.Era() < in.revision.Era() {
+		return errEarlierEra
+	}
 	in.recordRecovery()
 	next := make(map[string]Object, len(ls.Objects))
 	changed := !in.listed || len(ls.Objects) != len(in.objects)
--- a/io/objects/relay.go
+++ b/io/objects/relay.go
@@ -140,6 +140,19 @@
 	return rl.store.List(ctx, kind)
 }
 
+// ListFrom lists the objects of a kind at the VM with the given relay address.
+func (rl *RelayReader) ListFrom(ctx context.Context, address string, kind Kind) (Listing, error) {
+	actx, cancel := context.WithTimeout(ctx, relayMargin)
+	defer cancel()
+	var ls Listing
+	err := rl.get(actx, mirrorURL(address, kind, nil), &ls)
+	return ls, err
+}
+
+func mirrorURL(address string, kind Kind, query url.Values) string {
+	return "http://" + address + "/v1/objects/" + url.PathEscape(string(kind)) + "?" + query.Encode()
+}
+
 // Watch implements Reader. If the sources fail for another reason than a lost history, it asks the store.
 func (rl *RelayReader) Watch(ctx context.Context, kind Kind, after Revision, wait time.Duration) (Update, error) {
 	rl.awaitSource(ctx)
@@ -182,7 +195,7 @@
 	rl.setLast(address)
 	actx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	err := rl.get(actx, "http://"+address+"/v1/objects/"+url.PathEscape(string(kind))+"?"+query.Encode(), out)
+	err := rl.get(actx, mirrorURL(address, kind, query), out)
 	if err == nil || errors.Is(err, ErrHistoryLost) || ctx.Err() != nil {
 		return err
 	}
--- a/io/objects/store.go
+++ b/io/objects/store.go
@@ -11,9 +11,34 @@
 // Kind names a type of objects in the store. Each kind is listed and watched separately.
 type Kind string
 
-// Revision is the number of a change in a store. Later changes have higher revisions.
+// Revision is the position of a change in the history of a store. Later changes have higher revisions. It consists of an era and the
+// number of the change: a store that was restored from a copy gives out numbers again, for other changes, but in the next era.
 type Revision int64
 
+// Era is the number of times that a store was restored from a copy.
+type Era int64
+
+// Limits of the parts of a Revision.
+const (
+	numberBits = 44
+	MaxNumber  = 1<<numberBits - 1
+	MaxEra     = 1<<(63-numberBits) - 1
+)
+
+// NewRevision returns the revision of a change. It reports false if the era or the number is negative or beyond its limit.
+func NewRevision(era Era, number int64) (Revision, bool) {
+	if era < 0 || era > MaxEra || number < 0 || number > MaxNumber {
+		return 0, false
+	}
+	return Revision(int64(era)<<numberBits | number), true
+}
+
+// Era returns the era of the change.
+func (rv Revision) Era() Era { return Era(rv >> numberBits) }
+
+// Number returns the number of the change, by which the store knows it.
+func (rv Revision) Number() int64 { return int64(rv) & MaxNumber }
+
 // Object is an object of the store. Its fields are encoded as JSON under their Go names.
 type Object struct {
 	Name     string
@@ -36,6 +61,8 @@
 	ErrMalformed = errors.New("the response of the store can't be decoded")
 	// ErrConflict means that the object already exists, or that its revision isn't the expected one.
 	ErrConflict = errors.New("the object was changed by another writer")
+	// ErrMixedEras means that the store was restored from a copy while its objects were listed.
+	ErrMixedEras = errors.New("the store was restored from a copy while its objects were listed")
 	// ErrNotFound means that the object does not exist.
 	ErrNotFound = errors.New("the object does not exist")
 )
