Pipelined requests overlap: serve idempotent ones while those ahead of them run

Cause: of the callers of the uneven deployment, those who look up records pipeline.

Change: io/inbound.Pipeline starts further requests of idempotent routes without a body and keeps their responses in order.

--- a/io/gateway/metrics.go
+++ b/io/gateway/metrics.go
@@ -26,6 +26,7 @@
 	targets  map[placement.TargetState]tally.Gauge
 	invalid  map[httpframe.Reason]tally.Counter
 	restores tally.Counter
+	overlaps tally.Counter
 }
 
 // noticeKind classifies what targets say about themselves in responses.
@@ -78,7 +79,7 @@
 		scope: sc, latency: sc.Histogram("request_latency", latencyBuckets),
 		dropped: sc.Counter("log_lines_dropped"), notices: map[noticeKind]tally.Counter{},
 		unstated: map[int]tally.Counter{}, targets: map[placement.TargetState]tally.Gauge{},
-		invalid: map[httpframe.Reason]tally.Counter{}, restores: sc.Counter("store_restores"),
+		invalid: map[httpframe.Reason]tally.Counter{}, restores: sc.Counter("store_restores"), overlaps: sc.Counter("overlapping_requests"),
 	}
 	for _, rs := range httpframe.Reasons {
 		mt.invalid[rs] = sc.Tagged(map[string]string{"reason": string(rs)}).Counter("invalid_responses")
@@ -132,6 +133,9 @@
 // countUnstated counts a response of a target whose status is one of notRunStatuses, without a statement of the target.
 func (mt *Metrics) countUnstated(status int) { mt.unstated[status].Inc(1) }
 
+// countOverlap counts a pipelined request that was started before the ones ahead of it had ended.
+func (mt *Metrics) countOverlap() { mt.overlaps.Inc(1) }
+
 // countRestore counts a restore of the store from a copy.
 func (mt *Metrics) countRestore() { mt.restores.Inc(1) }
 
--- a/io/gateway/server.go
+++ b/io/gateway/server.go
@@ -11,6 +11,7 @@
 	"damasklatch/core/lease"
 	"damasklatch/core/placement"
 	"damasklatch/core/routing"
+	"damasklatch/io/inbound"
 	"damasklatch/io/target"
 )
 
@@ -97,10 +98,21 @@
 	}
 }
 
+// mayOverlap reports whether a pipelined request may be served before the ones ahead of it have ended. A VM that leaves closes each
+// connection as soon as it can, and a request that was started would keep it open.
+func (sv *Server) mayOverlap(r *http.Request) bool {
+	tb := sv.table.Load()
+	if tb == nil || sv.leaving.Load() {
+		return false
+	}
+	rt, ok := tb.Match(r.Host, r.URL.EscapedPath())
+	return ok && rt.Idempotent
+}
+
 // HTTPServer returns an HTTP server for the requests of callers. The caller sets its address or listener.
 func (sv *Server) HTTPServer() *http.Server {
 	return &http.Server{
-		Handler:           sv,
+		Handler:           &inbound.Pipeline{Handler: sv, MayOverlap: sv.mayOverlap, OnOverlap: sv.op.Metrics.countOverlap},
 		MaxHeaderBytes:    maxHeaderBytes,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
--- a/io/httpframe/field.go
+++ b/io/httpframe/field.go
@@ -21,6 +21,12 @@
 	return field{name, val}, nil
 }
 
+// ValidName reports whether the text is a field name.
+func ValidName(text string) bool { return isToken([]byte(text)) }
+
+// ValidValue reports whether the text is a field value.
+func ValidValue(text string) bool { return isText([]byte(text)) }
+
 // isToken reports whether the text is a token of RFC 9110, section 5.6.2.
 func isToken(text []byte) bool {
 	for _, char := range text {
--- a/io/inbound/conn.go
+++ b/io/inbound/conn.go
@@ -96,7 +96,8 @@
 	mu          sync.Mutex
 	changed     sync.Cond // closed or deadline was set
 	fr          framer
-	ahead       []byte    // bytes of further requests that were read together with a request
+	ahead       []byte // bytes of further requests that were read together with a request, or while it ran
+	overlap     overlap
 	pipelines   bool      // a further request has arrived before the response to an earlier one
 	failure     error     // returned by all further reads; nil while the connection works
 	deadline    time.Time // of reads
@@ -111,10 +112,11 @@
 type readMode uint8
 
 const (
-	noRead  readMode = iota
-	consume          // reads bytes
-	peek             // waits for bytes and copies them
-	watch            // waits for the end of the connection
+	noRead     readMode = iota
+	consume             // reads bytes
+	peek                // waits for bytes and copies them
+	watch               // waits for the end of the connection
+	watchBytes          // waits for that, or for bytes of a further request
 )
 
 // errInterrupted is returned by a read that has to be repeated because the phase of the listener has changed.
@@ -174,6 +176,7 @@
 func (cn *conn) fail(err error) error {
 	if !errors.Is(err, os.ErrDeadlineExceeded) {
 		cn.failure, cn.ahead = err, nil
+		cn.overlap.abandon()
 	}
 	return err
 }
@@ -183,6 +186,7 @@
 	used := cn.fr.next(cn.ahead[:min(len(buf), len(cn.ahead))])
 	copy(buf, cn.ahead[:used])
 	cn.ahead = cn.ahead[used:]
+	cn.overlap.consume(used)
 	if len(cn.ahead) == 0 {
 		cn.ahead = nil
 	}
@@ -238,8 +242,8 @@
 	switch mode {
 	case peek:
 		num, err = cn.sock.peek(buf)
-	case watch:
-		early, err = cn.sock.awaitEnd(&cn.responding)
+	case watch, watchBytes:
+		early, err = cn.sock.awaitEnd(&cn.responding, mode == watchBytes)
 	default:
 		num, err = cn.Conn.Read(buf)
 	}
@@ -276,10 +280,24 @@
 }
 
 // awaitEnd waits until the caller or this side has closed the connection or the read deadline has expired, and returns the error
-// for that.
+// for that. Meanwhile it starts further requests that may overlap with the current one.
 func (cn *conn) awaitEnd() error {
-	if _, err := cn.wait(watch, nil); !errors.Is(err, errUnsupported) {
-		return err
+	for {
+		cn.startAhead()
+		mode := watch
+		if cn.mayReadAhead() {
+			mode = watchBytes
+		}
+		_, err := cn.wait(mode, nil)
+		if err == nil {
+			err = cn.readAhead()
+		}
+		if errors.Is(err, errUnsupported) {
+			break
+		}
+		if err != nil {
+			return err
+		}
 	}
 	for !cn.expired() && !cn.closed {
 		cn.changed.Wait()
@@ -290,6 +308,21 @@
 	return os.ErrDeadlineExceeded
 }
 
+// readAhead reads bytes of further requests, which have arrived.
+func (cn *conn) readAhead() error {
+	if !cn.mayReadAhead() {
+		return nil
+	}
+	buf := make([]byte, readAheadBytes)
+	num, err := cn.wait(consume, buf)
+	cn.ahead = append(cn.ahead, buf[:num]...)
+	cn.pipelines = true
+	return err
+}
+
+// readAheadBytes is the number of bytes of further requests that are read at a time while a request runs.
+const readAheadBytes = 4 << 10
+
 // expired reports whether the read deadline is in the past.
 func (cn *conn) expired() bool { return !cn.deadline.IsZero() && !cn.deadline.After(time.Now()) }
 
@@ -320,6 +353,7 @@
 	delivers := cn.wrote.Load() && !cn.closed && !cn.callerLeft && !cn.resets && cn.reading == noRead
 	resets := cn.resets
 	cn.closed = true
+	cn.overlap.abandon()
 	cn.changed.Broadcast()
 	cn.mu.Unlock()
 	if delivers {
@@ -336,6 +370,7 @@
 func (cn *conn) abort() {
 	cn.mu.Lock()
 	cn.closed = true
+	cn.overlap.abandon()
 	cn.changed.Broadcast()
 	cn.mu.Unlock()
 	_ = cn.Conn.Close() // fails only if it is closed already
--- a/io/inbound/socket.go
+++ b/io/inbound/socket.go
@@ -24,6 +24,8 @@
 	num     int    // bytes that were copied to buf
 	err     error  // of the last system call
 	checked bool   // the current wait for the end has made its first system call
+	bytes   bool   // the current wait for the end also ends with bytes
+	arrived bool   // it has ended with bytes
 	early   bool   // it has found bytes before responding was set
 	// responding is set once a byte of the response was written.
 	responding *atomic.Bool
@@ -83,18 +85,22 @@
 }
 
 // awaitEnd waits until the peer has closed its sending side or the connection has failed, and then returns io.EOF. It reads
-// nothing, and reports whether bytes have arrived before responding was set. An expired read deadline ends it with an error.
-func (sk *socket) awaitEnd(responding *atomic.Bool) (early bool, err error) {
+// nothing, and reports whether bytes have arrived before responding was set. An expired read deadline ends it with an error. If bytes
+// is set, it also ends when there are unread bytes, without an error.
+func (sk *socket) awaitEnd(responding *atomic.Bool, bytes bool) (early bool, err error) {
 	if sk.raw == nil {
 		return false, errUnsupported
 	}
 	sk.responding, sk.checked, sk.early, sk.err = responding, false, false, nil
+	sk.bytes, sk.arrived = bytes, false
 	waitErr := sk.raw.Read(sk.endOnce)
 	switch {
 	case waitErr != nil:
 		return sk.early, waitErr
 	case sk.err != nil:
 		return sk.early, errUnsupported
+	case sk.arrived:
+		return sk.early, nil
 	}
 	return sk.early, io.EOF
 }
@@ -119,7 +125,11 @@
 	})
 	events := sk.fds[0].Revents
 	sk.early = sk.early || events&unix.POLLIN != 0 && !sk.responding.Load()
-	return sk.err != nil || events&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	if sk.err != nil || events&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0 {
+		return true
+	}
+	sk.arrived = sk.bytes && events&unix.POLLIN != 0
+	return sk.arrived
 }
 
 // ignoreEINTR repeats a system call until no signal interrupts it. The Go runtime sends signals to its own threads.
--- a/io/inbound/socket_test.go
+++ b/io/inbound/socket_test.go
@@ -47,7 +47,7 @@
 		if err := cn.SetReadDeadline(time.Now().Add(20 * time.Microsecond)); err != nil {
 			t.Fatal(err)
 		}
-		if _, err := sk.awaitEnd(new(atomic.Bool)); errors.Is(err, errUnsupported) {
+		if _, err := sk.awaitEnd(new(atomic.Bool), false); errors.Is(err, errUnsupported) {
 			t.Fatal("the wait for the end of a connection ended although nothing happened")
 		}
 	}
@@ -69,7 +69,7 @@
 	var responding atomic.Bool
 	num := testing.AllocsPerRun(50, func() {
 		_ = cn.SetReadDeadline(time.Now().Add(time.Millisecond)) // the wait would not end without it
-		_, _ = sk.awaitEnd(&responding)
+		_, _ = sk.awaitEnd(&responding, false)
 	})
 	if num > 1 {
 		t.Errorf("a wait makes %v allocations, want 1 at most", num)
