Load reports: read each figure for itself, and use the pace of a target's machine

Cause: targets of the uneven deployment report four figures; a report with other than three was thrown away, so that waits were estimated from this VM's own requests alone.

Change: each figure that can be read counts, the others are counted as unreadable. The fourth, how long work takes at present, scales the expected wait and the cost of a target, and is taken out of the observed service times. It counts half after 300 ms, and VMs do not pass it on, so that they do not all choose the same target.

--- a/core/placement/feedback.go
+++ b/core/placement/feedback.go
@@ -28,10 +28,13 @@
 		return
 	}
 	ts.ownInFlight = max(ts.ownInFlight-1, 0)
-	if rs.Load != nil {
-		ts.setReported(now, rs.Load.Running+rs.Load.Waiting)
+	if total, ok := rs.Load.total(); ok {
+		ts.setReported(now, total)
 		ts.directReportAt = now
 	}
+	if rs.Load != nil {
+		ts.pace.observe(now, rs.Load.Pace)
+	}
 	switch rs.Kind {
 	case Succeeded:
 		pc.recordSuccess(ts, route, rs)
@@ -40,7 +43,7 @@
 		ts.failureRate += failureWeight * (1 - ts.failureRate)
 	case Shed:
 		ts.failureRate += failureWeight * (1 - ts.failureRate)
-		if rs.Load == nil {
+		if _, ok := rs.Load.total(); !ok {
 			ts.setReported(now, 2*ts.Slots+ts.ownInFlight)
 		}
 	case Misplaced:
@@ -58,15 +61,19 @@
 }
 
 // recordSuccess updates the failure rate of the target and the service times of the route. Requests that had to wait at the
-// target are left out of the service times.
+// target are left out of the service times. The times for known and unknown objects are those at the usual pace.
 func (pc *Placer) recordSuccess(ts *targetState, route id.Route, rs Result) {
 	ts.consecutiveFailures, ts.probing = 0, false
 	ts.failureRate -= failureWeight * ts.failureRate
 	sv := pc.pool(ts.Pool).serviceTimes[route]
-	if sv == nil || rs.Load != nil && rs.Load.Waiting > 0 {
+	if sv == nil || rs.Load.queued() {
 		return
 	}
-	sv.observe(rs.Latency)
+	usual := rs.Latency
+	if rs.Load != nil {
+		usual = rs.Load.Pace.usual(rs.Latency)
+	}
+	sv.observe(usual)
 	sv.mean += time.Duration(serviceWeight * float64(rs.Latency-sv.mean))
 }
 
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -426,7 +426,7 @@
 		} else if !preferred && ts.inFlight(now)+1 > idleFraction*float64(ts.Slots) {
 			continue
 		}
-		cd.cost = cd.wait + service + time.Duration(ts.failureRate*float64(rq.Objective))
+		cd.cost = cd.wait + ts.pace.estimate(now).of(service) + time.Duration(ts.failureRate*float64(rq.Objective))
 		if preferLocal && ts.FailureDomain != pc.op.FailureDomain {
 			cd.cost += rq.Objective / 2
 		}
--- a/core/placement/placer_test.go
+++ b/core/placement/placer_test.go
@@ -280,8 +280,8 @@
 			en := sm.completions[0]
 			sm.completions = sm.completions[1:]
 			sm.inFlight[en.choice.ID]--
-			load := placement.Load{Running: min(sm.inFlight[en.choice.ID], 4), Waiting: max(sm.inFlight[en.choice.ID]-4, 0), Slots: 4}
-			placers[en.vm].Done(now, &en.choice, "read", placement.Result{Kind: placement.Succeeded, Latency: now.Sub(en.began), Load: &load})
+			load := placement.NewLoad(min(sm.inFlight[en.choice.ID], 4), max(sm.inFlight[en.choice.ID]-4, 0), 4)
+			placers[en.vm].Done(now, &en.choice, "read", placement.Result{Kind: placement.Succeeded, Latency: now.Sub(en.began), Load: load})
 			if now.Sub(en.began) <= objective && at > length/4 {
 				sm.inTime++
 			}
--- a/core/placement/shift_test.go
+++ b/core/placement/shift_test.go
@@ -99,8 +99,8 @@
 		for _, en := range fl.ends[fl.now.UnixMilli()] {
 			fl.inFlight[en.choice.ID]--
 			num := fl.inFlight[en.choice.ID]
-			load := placement.Load{Running: min(num, 4), Waiting: max(num-4, 0), Slots: 4}
-			en.pc.Done(fl.now, &en.choice, "read", placement.Result{Kind: placement.Succeeded, Latency: fl.now.Sub(en.began), Load: &load})
+			load := placement.NewLoad(min(num, 4), max(num-4, 0), 4)
+			en.pc.Done(fl.now, &en.choice, "read", placement.Result{Kind: placement.Succeeded, Latency: fl.now.Sub(en.began), Load: load})
 		}
 		delete(fl.ends, fl.now.UnixMilli())
 		for _, rg := range fl.regions {
--- a/core/placement/target.go
+++ b/core/placement/target.go
@@ -84,16 +84,6 @@
 	Dropped   ResultKind = "dropped"   // the attempt was canceled; this says nothing about the target
 )
 
-// Load is the load that a target reports with its responses.
-type Load struct {
-	Running int // requests that occupy a slot
-	Waiting int // requests that wait for a slot
-	Slots   int
-}
-
-// HasRoom reports whether the target has free slots and no queue. It is false for nil.
-func (ld *Load) HasRoom() bool { return ld != nil && ld.Waiting == 0 && ld.Running < ld.Slots }
-
 // Result is the outcome of an attempt.
 type Result struct {
 	Kind    ResultKind
@@ -110,6 +100,7 @@
 	reportedAt     time.Time // last report, directly or through another VM
 	// directReportAt is the time of the last report in a response to this VM.
 	directReportAt time.Time
+	pace           paceMeter
 	evacuated      bool
 
 	recent    recentObjects // objects of requests that this VM sent to the target
@@ -144,15 +135,6 @@
 	ts.reportedAt = now
 }
 
-// expectedWait estimates how long a new request waits for a free slot if the target takes the given time for each request.
-func (ts *targetState) expectedWait(now time.Time, service time.Duration) time.Duration {
-	ahead := ts.inFlight(now) + 1 - float64(ts.Slots)
-	if ahead <= 0 {
-		return 0
-	}
-	return time.Duration(ahead / float64(max(ts.Slots, 1)) * float64(service))
-}
-
 // usable reports whether this VM may send requests to the target now. After an ejection, it sends one request at a time until
 // one succeeds.
 func (ts *targetState) usable(now time.Time) bool {
--- a/internal/experiment/pause.go
+++ b/internal/experiment/pause.go
@@ -330,7 +330,7 @@
 		tg.known[rq.object] = pr.now
 		pr.schedule(time.Duration(rq.work*float64(service)), func() {
 			tg.running--
-			ld := placement.Load{Running: tg.running, Waiting: len(tg.queue), Slots: pauseSlots}
+			ld := placement.NewLoad(tg.running, len(tg.queue), pauseSlots)
 			if len(tg.queue) > 0 {
 				next := tg.queue[0]
 				tg.queue = tg.queue[1:]
@@ -373,8 +373,8 @@
 }
 
 // respond handles a success at the VM.
-func (pr *pauseRun) respond(rq *pauseRequest, ch *placement.Choice, sent time.Duration, ld placement.Load) {
-	pr.vms[rq.vm].placer.Done(pr.clock(), ch, "read", placement.Result{Kind: placement.Succeeded, Latency: pr.now - sent, Load: &ld})
+func (pr *pauseRun) respond(rq *pauseRequest, ch *placement.Choice, sent time.Duration, ld *placement.Load) {
+	pr.vms[rq.vm].placer.Done(pr.clock(), ch, "read", placement.Result{Kind: placement.Succeeded, Latency: pr.now - sent, Load: ld})
 	switch took := pr.now - rq.arrived; {
 	case !pr.counts(rq.arrived):
 	case took <= pauseObjective:
--- a/io/gateway/adapter.go
+++ b/io/gateway/adapter.go
@@ -88,6 +88,7 @@
 	Misplaced   bool            // the address now belongs to another target
 	Signed      bool            // a target has signed the response
 	Load        *placement.Load // load that the target reports; nil if there is none
+	InvalidLoad bool            // a figure of the load report can't be read
 	IdleTimeout time.Duration   // how long the target keeps idle connections open; zero if unknown
 	// Notice is what the target says about itself.
 	Notice placement.Notice
--- a/io/gateway/attempt.go
+++ b/io/gateway/attempt.go
@@ -76,6 +76,9 @@
 	if oc.mayHaveRun {
 		rq.mayHaveRun.Store(true)
 	}
+	if oc.info.InvalidLoad {
+		rq.sv.op.Metrics.invalidLoads.Inc(1)
+	}
 	if oc.unstated() {
 		rq.unstated.Add(1)
 		rq.sv.op.Metrics.countUnstated(oc.status)
--- a/io/gateway/metrics.go
+++ b/io/gateway/metrics.go
@@ -27,6 +27,8 @@
 	invalid  map[httpframe.Reason]tally.Counter
 	restores tally.Counter
 	overlaps tally.Counter
+	// invalidLoads counts load reports with a figure that can't be read.
+	invalidLoads tally.Counter
 }
 
 // noticeKind classifies what targets say about themselves in responses.
@@ -80,6 +82,7 @@
 		dropped: sc.Counter("log_lines_dropped"), notices: map[noticeKind]tally.Counter{},
 		unstated: map[int]tally.Counter{}, targets: map[placement.TargetState]tally.Gauge{},
 		invalid: map[httpframe.Reason]tally.Counter{}, restores: sc.Counter("store_restores"), overlaps: sc.Counter("overlapping_requests"),
+		invalidLoads: sc.Counter("invalid_load_reports"),
 	}
 	for _, rs := range httpframe.Reasons {
 		mt.invalid[rs] = sc.Tagged(map[string]string{"reason": string(rs)}).Counter("invalid_responses")
