Placement: overflow within the objective, and large responses from the own failure domain

Cause, bytes: downloads of 90 kB came from either failure domain of a region, half of them through the link between the two.

Change: a request that would be refused goes to a target with a free slot that does not know its object if the response is expected within 0.75 of the objective and at most 0.6 of the region's slots are busy. Routes with responses of 16 kB or more on average try the targets of the own failure domain first, if there are three or more.

--- a/core/placement/feedback.go
+++ b/core/placement/feedback.go
@@ -9,7 +9,7 @@
 
 const (
 	failureWeight = 0.15 // weight of one result in the moving average of the failure rate
-	serviceWeight = 0.1  // weight of one response in the moving average of the service time
+	serviceWeight = 0.1  // weight of one response in the moving averages of the service time and of the size
 	// An ejected target is out of use for minEjection, doubled for each consecutive failure (the first included), but for
 	// maxEjection at most.
 	minEjection = 500 * time.Millisecond
@@ -66,7 +66,11 @@
 	ts.consecutiveFailures, ts.probing = 0, false
 	ts.failureRate -= failureWeight * ts.failureRate
 	sv := pc.pool(ts.Pool).serviceTimes[route]
-	if sv == nil || rs.Load.queued() {
+	if sv == nil {
+		return
+	}
+	sv.responseBytes += serviceWeight * (float64(rs.Bytes) - sv.responseBytes)
+	if rs.Load.queued() {
 		return
 	}
 	usual := rs.Latency
--- a/core/placement/load.go
+++ b/core/placement/load.go
@@ -80,7 +80,9 @@
 }
 
 // of returns the time that work takes at the pace, if it usually takes the given time.
-func (pa Pace) of(usual time.Duration) time.Duration { return time.Duration(float64(pa) * float64(usual)) }
+func (pa Pace) of(usual time.Duration) time.Duration {
+	return time.Duration(float64(pa) * float64(usual))
+}
 
 // usual returns the time that work usually takes, if it took the given time at the pace. An unknown pace counts as the usual one.
 func (pa Pace) usual(took time.Duration) time.Duration {
--- a/core/placement/load_test.go
+++ b/core/placement/load_test.go
@@ -20,7 +20,7 @@
 		report := func(pace placement.Pace) {
 			ch, rf := pc.Pick(start, rq)
 			So(rf, ShouldBeNil)
-			ld := placement.NewLoad(3, 0, 4)
+			ld := placement.NewLoad(0, 0, 4)
 			ld.Pace = pace
 			pc.Done(start, &ch, rq.Route, placement.Result{Kind: placement.Succeeded, Latency: 160 * time.Millisecond, Load: ld})
 			for range 4 {
@@ -59,6 +59,7 @@
 			ch, rf := pc.Pick(start, rq)
 			So(rf, ShouldBeNil)
 			rs := placement.Result{Kind: placement.Succeeded, Latency: 100 * time.Millisecond, Load: placement.NewLoad(0, 0, 4)}
+			rs.Load.Pace = 1
 			if nr%2 == 0 {
 				rs.Latency, rs.Load.Pace = 300*time.Millisecond, 3
 			}
@@ -66,7 +67,7 @@
 		}
 		var last placement.Choice
 		for range 5 {
-			ch, rf := pc.Pick(start.Add(time.Minute), rq)
+			ch, rf := pc.Pick(start, rq)
 			So(rf, ShouldBeNil)
 			last = ch
 		}
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -15,13 +15,22 @@
 	// knows, and for requests on other objects.
 	initialKnownFraction   = 0.4
 	initialUnknownFraction = 1.2
-	// largeBody is the body size in bytes from which a request prefers its own region and failure domain, to save bandwidth
-	// between them.
+	// largeBody is the size in bytes of a request or a usual response from which a request prefers its own region and failure
+	// domain, to save bandwidth between them.
 	largeBody = 16 << 10
+	// minLocalTargets is the number of targets that a failure domain must have to be preferred for large responses: fewer know too
+	// few objects.
+	minLocalTargets = 3
 	// The longest acceptable wait at a target, as a fraction of the latency objective, for urgent and for other requests. The
 	// limit for urgent requests is higher, so that they are still accepted when other requests are refused under load.
 	urgentWaitFraction = 0.4
 	normalWaitFraction = 0.3
+	// inTimeFraction is the fraction of the latency objective within which a response must be expected for the request to overflow to
+	// a target that does not know its object.
+	inTimeFraction = 0.75
+	// overflowUtilization is the part of a region's slots that may be busy for requests to overflow to targets that do not know their
+	// object. Work on unknown objects takes so much longer that it would make a busy region busier.
+	overflowUtilization = 0.6
 	// idleFraction is the fraction of a target's slots up to which it gets requests on objects that it does not know.
 	idleFraction = 0.4
 	// hedgeMargin is a multiple of the average service time for unknown objects. Requests rarely take longer than this multiple.
@@ -68,6 +77,7 @@
 // pool holds the targets of a pool and what this VM has learned about its work.
 type pool struct {
 	targets      []*targetState
+	local        []*targetState // in the own failure domain
 	regions      map[id.Region][]*targetState
 	plan         plan
 	serviceTimes map[id.Route]*serviceTimes
@@ -77,8 +87,11 @@
 }
 
 // serviceTimes holds moving averages of the time that a target takes for requests of a route: for requests on objects that the
-// target knows, for requests on other objects, and for all requests.
-type serviceTimes struct{ known, unknown, mean time.Duration }
+// target knows, for requests on other objects, and for all requests. It also holds that of the size of responses.
+type serviceTimes struct {
+	known, unknown, mean time.Duration
+	responseBytes        float64
+}
 
 // New returns a Placer without targets.
 func New(op Options) *Placer {
@@ -155,7 +168,7 @@
 // rebuildIndexes groups the targets by pool and region and maps their short hashes.
 func (pc *Placer) rebuildIndexes() {
 	for _, pl := range pc.pools {
-		pl.targets, pl.regions = nil, map[id.Region][]*targetState{}
+		pl.targets, pl.local, pl.regions = nil, nil, map[id.Region][]*targetState{}
 	}
 	pc.byShortHash = make(map[uint32]*targetState, len(pc.targets))
 	for _, ts := range pc.targets {
@@ -163,6 +176,9 @@
 		pl := pc.pool(ts.Pool)
 		pl.targets = append(pl.targets, ts)
 		pl.regions[ts.Region] = append(pl.regions[ts.Region], ts)
+		if ts.FailureDomain == pc.op.FailureDomain {
+			pl.local = append(pl.local, ts)
+		}
 	}
 }
 
@@ -248,8 +264,8 @@
 		}
 		exceeded = pl.mix.exceeded(now, pl.plan.weights, chance)
 	}
-	if rq.Size >= largeBody && !exceeded[pc.op.Region] && pc.regionUsable(now, pl, rq, object, pc.op.Region) {
-		// A request with a large body leaves the region only if the region is full, to save bandwidth between regions.
+	if (rq.Size >= largeBody || pl.hasLargeResponse(rq)) && !exceeded[pc.op.Region] && pc.regionUsable(now, pl, rq, object, pc.op.Region) {
+		// A large request leaves the region only if the region is full, to save bandwidth between regions.
 		if ch, rf := pc.pickInRegion(now, pl, rq, object, pc.op.Region); rf == nil {
 			return ch, nil
 		}
@@ -270,7 +286,10 @@
 
 // pickInRegion chooses a target in the given region.
 func (pc *Placer) pickInRegion(now time.Time, pl *pool, rq *Request, object uint64, region id.Region) (Choice, *Refusal) {
-	cd, ok := pc.bestTarget(now, pl, pl.regions[region], rq, object)
+	cd, ok := pc.bestLocal(now, pl, rq, object, region)
+	if !ok || !cd.acceptable {
+		cd, ok = pc.bestTarget(now, pl, pl.regions[region], rq, object)
+	}
 	ts, wait := cd.target, cd.wait
 	if !ok {
 		return Choice{}, pc.noTarget(now, pl, rq, object, region)
@@ -290,6 +309,20 @@
 	return ch, nil
 }
 
+// bestLocal returns the best target in the own failure domain for a request that usually gets a large response and is sent to the own
+// region. The targets of each failure domain then learn the objects that are asked for there.
+func (pc *Placer) bestLocal(now time.Time, pl *pool, rq *Request, object uint64, region id.Region) (candidate, bool) {
+	if region != pc.op.Region || len(pl.local) < minLocalTargets || !pl.hasLargeResponse(rq) {
+		return candidate{}, false
+	}
+	return pc.bestTarget(now, pl, pl.local, rq, object)
+}
+
+// hasLargeResponse reports whether requests of the route usually get a large response.
+func (pl *pool) hasLargeResponse(rq *Request) bool {
+	return pl.serviceTimesFor(rq).responseBytes >= largeBody
+}
+
 // hedgeDelay returns the time after which a request without a response may also be sent to a second target. It is longer than
 // the target usually takes for an object that it does not know, because a second run of a request that is only slow takes
 // capacity from other requests. It leaves enough of the remaining time for a second target that knows the object, but is at
@@ -403,11 +436,24 @@
 // bestTarget returns the eligible target with the lowest cost among those with an acceptable wait, or among all if there is none
 // with one. It returns false if no target is eligible. Apart from the preferred target, those that do not know the object are
 // considered only if most of their slots are free: the work takes several times as long there, and spreading objects over all
-// targets under load would displace the objects that the targets know.
+// targets under load would displace the objects that the targets know. If a request would be refused otherwise, they are also
+// considered if one slot is free, the response there would be in time, and the region is not busy.
 func (pc *Placer) bestTarget(now time.Time, pl *pool, targets []*targetState, rq *Request, object uint64) (best candidate, ok bool) {
 	sv := pl.serviceTimesFor(rq)
-	preferLocal := rq.Size >= largeBody
 	pc.rankBuffer = rankByHash(targets, object, pc.rankBuffer)
+	best, ok = pc.bestRanked(now, rq, object, sv, idleFraction)
+	if ok && best.acceptable || sv.unknown > time.Duration(inTimeFraction*float64(rq.Objective)) || utilization(now, targets) > overflowUtilization {
+		return best, ok
+	}
+	if other, found := pc.bestRanked(now, rq, object, sv, 1); found && other.acceptable {
+		return other, true
+	}
+	return best, ok
+}
+
+// bestRanked returns the best of the targets in rankBuffer. Targets that do not know the object are considered up to a fraction of
+// their slots.
+func (pc *Placer) bestRanked(now time.Time, rq *Request, object uint64, sv *serviceTimes, unknownFraction float64) (best candidate, ok bool) {
 	first := true
 	for _, rk := range pc.rankBuffer {
 		ts := rk.target
@@ -420,14 +466,15 @@
 		}
 		cd := candidate{target: ts, wait: ts.expectedWait(now, sv.known)}
 		cd.known = (preferred || ts.recent.contains(now, object)) && !now.Before(ts.coldUntil)
-		service := sv.unknown
+		usual := sv.unknown
 		if cd.known {
-			service = sv.known
-		} else if !preferred && ts.inFlight(now)+1 > idleFraction*float64(ts.Slots) {
+			usual = sv.known
+		} else if !preferred && ts.inFlight(now)+1 > unknownFraction*float64(ts.Slots) {
 			continue
 		}
-		cd.cost = cd.wait + ts.pace.estimate(now).of(service) + time.Duration(ts.failureRate*float64(rq.Objective))
-		if preferLocal && ts.FailureDomain != pc.op.FailureDomain {
+		service := ts.pace.estimate(now).of(usual)
+		cd.cost = cd.wait + service + time.Duration(ts.failureRate*float64(rq.Objective))
+		if rq.Size >= largeBody && ts.FailureDomain != pc.op.FailureDomain {
 			cd.cost += rq.Objective / 2
 		}
 		cd.acceptable = acceptableWait(rq, cd.wait)
@@ -438,6 +485,21 @@
 	return best, ok
 }
 
+// utilization returns the part of the targets' slots that are estimated to be busy, of those that get requests.
+func utilization(now time.Time, targets []*targetState) float64 {
+	var busy, slots float64
+	for _, ts := range targets {
+		if ts.usable(now) {
+			slots += float64(ts.Slots)
+			busy += min(ts.inFlight(now), float64(ts.Slots))
+		}
+	}
+	if slots <= 0 {
+		return 1
+	}
+	return busy / slots
+}
+
 // unitOf maps a hash to a number in (0, 1).
 func unitOf(hash uint64) float64 { return (float64(hash>>11) + 0.5) / (1 << 53) }
 
--- a/core/placement/target.go
+++ b/core/placement/target.go
@@ -88,6 +88,7 @@
 type Result struct {
 	Kind    ResultKind
 	Latency time.Duration // used if the attempt succeeded
+	Bytes   int64         // size of the response body; used if the attempt succeeded, and zero if it is not known
 	Load    *Load         // nil if the target reported none
 }
 
--- a/io/gateway/attempt.go
+++ b/io/gateway/attempt.go
@@ -43,6 +43,14 @@
 // unstated reports whether the target's status means that the request has not run, although the target did not state this.
 func (oc *outcome) unstated() bool { return meansNotRun(oc.status) && !oc.info.NotRun }
 
+// size returns the size of the body, or of its buffered part if the size of the whole is not known.
+func (oc *outcome) size() int64 {
+	if oc.stream != nil {
+		return max(oc.resp.ContentLength, int64(len(oc.body)))
+	}
+	return int64(len(oc.body))
+}
+
 func (oc *outcome) discard() {
 	if oc.stream != nil {
 		oc.stream.Close()
@@ -83,7 +91,7 @@
 		rq.unstated.Add(1)
 		rq.sv.op.Metrics.countUnstated(oc.status)
 	}
-	done := &attemptReporter{rq: rq, ch: *ch, latency: time.Since(sent), load: oc.info.Load}
+	done := &attemptReporter{rq: rq, ch: *ch, latency: time.Since(sent), load: oc.info.Load, bytes: oc.size()}
 	if oc.stream == nil {
 		cancel()
 		done.report(oc.kind)
@@ -137,12 +145,13 @@
 	ch      placement.Choice
 	latency time.Duration
 	load    *placement.Load
+	bytes   int64
 	once    sync.Once
 }
 
 func (ae *attemptReporter) report(kind placement.ResultKind) {
 	ae.once.Do(func() {
-		ae.rq.sv.op.Placer.Done(time.Now(), &ae.ch, ae.rq.route.Name, placement.Result{Kind: kind, Latency: ae.latency, Load: ae.load})
+		ae.rq.sv.op.Placer.Done(time.Now(), &ae.ch, ae.rq.route.Name, placement.Result{Kind: kind, Latency: ae.latency, Load: ae.load, Bytes: ae.bytes})
 		ae.rq.sv.op.Metrics.countAttempt(kind)
 	})
 }
