Placement: the second target of an object when the first is full

Change: up to 0.75 of the region's slots, a request that would be refused goes to the second target in its object's ranking if that has a free slot. All VMs choose the same one, so it knows the object after the first time.

--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -28,8 +28,9 @@
 	// inTimeFraction is the fraction of the latency objective within which a response must be expected for the request to overflow to
 	// a target that does not know its object.
 	inTimeFraction = 0.75
-	// overflowUtilization is the part of a region's slots that may be busy for requests to overflow to targets that do not know their
-	// object. Work on unknown objects takes so much longer that it would make a busy region busier.
+	// replicaUtilization and overflowUtilization are the parts of a region's slots that may be busy for requests to go to the second
+	// target of their object, and to any target. Work on unknown objects takes so much longer that it makes a busy region busier.
+	replicaUtilization  = 0.75
 	overflowUtilization = 0.6
 	// idleFraction is the fraction of a target's slots up to which it gets requests on objects that it does not know.
 	idleFraction = 0.4
@@ -433,43 +434,72 @@
 	return cd.cost < ot.cost
 }
 
+// spread tells which targets may get a request on an object that they do not know.
+type spread struct {
+	replicas int     // number of targets at the front of the object's ranking that may if they have a free slot
+	fraction float64 // any other target may if less than this fraction of its slots is busy
+}
+
+var (
+	// affineSpread keeps objects at the targets that know them.
+	affineSpread = spread{replicas: 1, fraction: idleFraction}
+	// replicaSpread adds the second target of each object, which knows it as well after the first time.
+	replicaSpread = spread{replicas: 2, fraction: idleFraction}
+	// overflowSpread adds all targets with a free slot.
+	overflowSpread = spread{replicas: 2, fraction: 1}
+)
+
 // bestTarget returns the eligible target with the lowest cost among those with an acceptable wait, or among all if there is none
-// with one. It returns false if no target is eligible. Apart from the preferred target, those that do not know the object are
-// considered only if most of their slots are free: the work takes several times as long there, and spreading objects over all
-// targets under load would displace the objects that the targets know. If a request would be refused otherwise, they are also
-// considered if one slot is free, the response there would be in time, and the region is not busy.
+// with one. It returns false if no target is eligible.
+//
+// Apart from the preferred target, those that do not know the object are considered only if most of their slots are free: the work
+// takes several times as long there, and spreading objects over all targets under load would displace the objects that the targets
+// know. If a request would be refused otherwise, the second target of the object is also considered if it has a free slot. All VMs
+// choose the same one, so that few objects are displaced. At last, all targets with a free slot are considered if the response there
+// would be in time and the region is not busy.
 func (pc *Placer) bestTarget(now time.Time, pl *pool, targets []*targetState, rq *Request, object uint64) (best candidate, ok bool) {
 	sv := pl.serviceTimesFor(rq)
 	pc.rankBuffer = rankByHash(targets, object, pc.rankBuffer)
-	best, ok = pc.bestRanked(now, rq, object, sv, idleFraction)
-	if ok && best.acceptable || sv.unknown > time.Duration(inTimeFraction*float64(rq.Objective)) || utilization(now, targets) > overflowUtilization {
+	best, ok = pc.bestRanked(now, rq, object, sv, affineSpread)
+	if ok && best.acceptable {
+		return best, true
+	}
+	used := utilization(now, targets)
+	if used > replicaUtilization {
+		return best, ok
+	}
+	if other, found := pc.bestRanked(now, rq, object, sv, replicaSpread); found && other.acceptable {
+		return other, true
+	}
+	if sv.unknown > time.Duration(inTimeFraction*float64(rq.Objective)) || used > overflowUtilization {
 		return best, ok
 	}
-	if other, found := pc.bestRanked(now, rq, object, sv, 1); found && other.acceptable {
+	if other, found := pc.bestRanked(now, rq, object, sv, overflowSpread); found && other.acceptable {
 		return other, true
 	}
 	return best, ok
 }
 
-// bestRanked returns the best of the targets in rankBuffer. Targets that do not know the object are considered up to a fraction of
-// their slots.
-func (pc *Placer) bestRanked(now time.Time, rq *Request, object uint64, sv *serviceTimes, unknownFraction float64) (best candidate, ok bool) {
-	first := true
+// bestRanked returns the best of the targets in rankBuffer, within a spread.
+func (pc *Placer) bestRanked(now time.Time, rq *Request, object uint64, sv *serviceTimes, sp spread) (best candidate, ok bool) {
+	rank := 0 // number of usable targets seen
 	for _, rk := range pc.rankBuffer {
 		ts := rk.target
-		// All VMs prefer the first usable target in the ranking for an object, so it is assumed to know the object. While a target
-		// returns from a pause, some VMs prefer the next one, which served the object during the pause.
-		preferred := first && ts.usable(now) && pc.openFor(now, ts, object)
-		first = first && !preferred
+		if ts.usable(now) && pc.openFor(now, ts, object) {
+			rank++
+		}
 		if !pc.eligible(now, ts, rq, object) {
 			continue
 		}
+		// All VMs prefer the first usable target in the ranking for an object, so it is assumed to know the object. While a target
+		// returns from a pause, some VMs prefer the next one, which served the object during the pause.
+		preferred := rank == 1
 		cd := candidate{target: ts, wait: ts.expectedWait(now, sv.known)}
 		cd.known = (preferred || ts.recent.contains(now, object)) && !now.Before(ts.coldUntil)
 		usual := sv.unknown
 		if cd.known {
 			usual = sv.known
-		} else if !preferred && ts.inFlight(now)+1 > unknownFraction*float64(ts.Slots) {
+		} else if !preferred && !sp.allows(rank, ts.inFlight(now)+1, float64(ts.Slots)) {
 			continue
 		}
 		service := ts.pace.estimate(now).of(usual)
@@ -485,6 +515,12 @@
 	return best, ok
 }
 
+// allows reports whether the target with a rank may get a request on an object that it does not know, if so many of its slots are busy
+// then.
+func (sp spread) allows(rank int, busy, slots float64) bool {
+	return busy <= sp.fraction*slots || rank <= sp.replicas && busy <= slots
+}
+
 // utilization returns the part of the targets' slots that are estimated to be busy, of those that get requests.
 func utilization(now time.Time, targets []*targetState) float64 {
 	var busy, slots float64
