One budget of memory for buffered bodies, a bound on header fields, and an end for callers that don't read

Cause: each caller made the gateway hold up to 512 kB of an unfinished body, thousands of header fields, or a response that it didn't read, and nothing bounded their sum.

Change: core/memory.Budget, a quarter of memory_limit, is asked before a body is buffered; while half of it is in use, each caller address gets an equal share. What has no room is refused with 503, of which no byte was sent. A connection is closed after 500 header fields, and when a caller takes no more of a response for 10 s.

--- a/io/gateway/daemon.go
+++ b/io/gateway/daemon.go
@@ -42,8 +42,8 @@
 	// lookupStopLimit is the time for which the shutdown waits for look-ups, readiness checks and other short requests. It covers a
 	// round trip between regions, in case that part of a request is on its way.
 	lookupStopLimit = 300 * time.Millisecond
-	// gcPercent makes garbage collections rarer than by default, at the cost of memory.
-	gcPercent = 200
+	// gcPercent makes garbage collections more frequent than by default. The live heap is small, so they are cheap, and VMs are small.
+	gcPercent = 50
 )
 
 // Run runs a gateway until the context is canceled, and then shuts it down within the grace period. It loads the settings at
@@ -150,7 +150,7 @@
 ) *Server {
 	return NewServer(Options{
 		Region: gs.Region, Codec: ad, Lease: ls, Limiter: lm, Placer: pc, Budget: bg, Metrics: NewMetrics(mt.Scope), Log: log,
-		RequestLog: rl.Logger,
+		RequestLog: rl.Logger, MemoryLimit: gs.MemoryLimit,
 	})
 }
 
@@ -213,7 +213,7 @@
 		return err
 	}
 	dc := &dropCounter{log: lc.Lines, metrics: lc.Server.op.Metrics}
-	tg := &targetGauges{placer: lc.Placer, metrics: lc.Server.op.Metrics}
+	tg := &stateGauges{placer: lc.Placer, bodies: lc.Server.bodies, metrics: lc.Server.op.Metrics}
 	cf := &configFetcher{rn.control}
 	bodies := []func(context.Context){rn.control.loop, rn.conn.Run, rg.run, lc.Reloader.run, dc.run, tg.run, cf.run}
 	for _, in := range rn.control.informers {
--- a/io/gateway/loss.go
+++ b/io/gateway/loss.go
@@ -21,6 +21,7 @@
 	lossTargetFailed Loss = "target_failed"       // targets refused the request, failed it or could not be reached
 	lossTimeout      Loss = "timeout"             // no target responded within the timeout
 	lossCallerLeft   Loss = "caller_left"         // the caller closed the connection
+	lossMemory       Loss = "memory"              // the VM had no memory for the body
 	lossCallerSlow   Loss = "caller_slow"         // the caller did not send the body within the timeout
 	lossRetried      Loss = "late_retried"        // late, after more than one attempt
 	lossColdTarget   Loss = "late_cold_target"    // late, at a target that had started recently
@@ -31,7 +32,7 @@
 
 // allLosses lists every Loss.
 var allLosses = []Loss{
-	lossLimit, lossFull, lossShift, lossNoTarget, lossNoLease, lossStarting, lossTargetFailed, lossTimeout, lossCallerLeft, lossCallerSlow,
+	lossLimit, lossFull, lossShift, lossNoTarget, lossNoLease, lossStarting, lossTargetFailed, lossTimeout, lossCallerLeft, lossMemory, lossCallerSlow,
 	lossRetried, lossColdTarget, lossUnknown, lossWaited, lossSlow,
 }
 
@@ -40,7 +41,7 @@
 	reasonRate: lossLimit, reasonFull: lossFull, reasonShift: lossShift, reasonNoTarget: lossNoTarget, reasonStale: lossNoLease,
 	reasonNoConfig: lossStarting, reasonRefused: lossTargetFailed, reasonUnreached: lossTargetFailed,
 	reasonLost: lossTargetFailed, reasonUnstated: lossTargetFailed, reasonNotSent: lossTargetFailed, reasonTimeout: lossTimeout,
-	reasonBodyLate: lossCallerSlow,
+	reasonBodyLate: lossCallerSlow, reasonMemory: lossMemory,
 }
 
 // lossOf returns the loss of a request that ended with the given status and reason. The attempts include the last one, for which
--- a/io/gateway/metrics.go
+++ b/io/gateway/metrics.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"damasklatch/core/memory"
 	"damasklatch/core/placement"
 	"damasklatch/io/asynclog"
 	"damasklatch/io/httpframe"
@@ -28,7 +29,8 @@
 	restores tally.Counter
 	overlaps tally.Counter
 	// invalidLoads counts load reports with a figure that can't be read.
-	invalidLoads tally.Counter
+	invalidLoads                tally.Counter
+	bodyMemory, bodyMemoryLimit tally.Gauge
 }
 
 // noticeKind classifies what targets say about themselves in responses.
@@ -82,7 +84,7 @@
 		dropped: sc.Counter("log_lines_dropped"), notices: map[noticeKind]tally.Counter{},
 		unstated: map[int]tally.Counter{}, targets: map[placement.TargetState]tally.Gauge{},
 		invalid: map[httpframe.Reason]tally.Counter{}, restores: sc.Counter("store_restores"), overlaps: sc.Counter("overlapping_requests"),
-		invalidLoads: sc.Counter("invalid_load_reports"),
+		invalidLoads: sc.Counter("invalid_load_reports"), bodyMemory: sc.Gauge("body_memory"), bodyMemoryLimit: sc.Gauge("body_memory_limit"),
 	}
 	for _, rs := range httpframe.Reasons {
 		mt.invalid[rs] = sc.Tagged(map[string]string{"reason": string(rs)}).Counter("invalid_responses")
@@ -120,6 +122,12 @@
 	sc.Gauge("copy_hops").Update(float64(hops))
 }
 
+// setBodyMemory exports what buffered bodies use of their memory.
+func (mt *Metrics) setBodyMemory(us memory.Usage) {
+	mt.bodyMemory.Update(float64(us.Used))
+	mt.bodyMemoryLimit.Update(float64(us.Limit))
+}
+
 // setTargets sets the number of targets in each state.
 func (mt *Metrics) setTargets(list []placement.TargetStatus) {
 	nums := map[placement.TargetState]int{}
--- a/io/gateway/refusal.go
+++ b/io/gateway/refusal.go
@@ -20,6 +20,7 @@
 	reasonHeaderLarge Reason = "header_too_large"
 	reasonBodyLarge   Reason = "body_too_large"
 	reasonBodyLate    Reason = "body_not_received" // in time; no byte of the request was sent to a target
+	reasonMemory      Reason = "memory"            // for the body; no byte of the request was sent to a target
 	reasonNoConfig    Reason = "no_configuration"
 	reasonStale       Reason = "stale_configuration"
 	reasonRate        Reason = "rate"
@@ -38,7 +39,7 @@
 var statuses = map[Reason]int{
 	reasonNoRoute: http.StatusNotFound, reasonNoKey: http.StatusUnauthorized, reasonUnknownKey: http.StatusUnauthorized,
 	reasonBadRequest: http.StatusBadRequest, reasonHeaderLarge: http.StatusRequestHeaderFieldsTooLarge,
-	reasonBodyLarge: http.StatusRequestEntityTooLarge, reasonBodyLate: http.StatusRequestTimeout, reasonNoConfig: http.StatusServiceUnavailable,
+	reasonBodyLarge: http.StatusRequestEntityTooLarge, reasonBodyLate: http.StatusRequestTimeout, reasonMemory: http.StatusServiceUnavailable, reasonNoConfig: http.StatusServiceUnavailable,
 	reasonStale: http.StatusServiceUnavailable, reasonRate: http.StatusTooManyRequests,
 	reasonNoTarget: http.StatusServiceUnavailable, reasonFull: http.StatusServiceUnavailable,
 	reasonShift: http.StatusServiceUnavailable, reasonRefused: http.StatusServiceUnavailable, reasonUnreached: http.StatusServiceUnavailable,
@@ -49,6 +50,9 @@
 const (
 	// notReadyRetryAfter is the Retry-After time if this VM has no configuration or its lease has ended.
 	notReadyRetryAfter = 300 * time.Millisecond
+	// memoryRetryAfter is the Retry-After time if there is no memory for the body of a request. Bodies that stop arriving are given up
+	// at the timeout of their route.
+	memoryRetryAfter = 500 * time.Millisecond
 	// targetRetryAfter is the Retry-After time if no target has run the request.
 	targetRetryAfter = 200 * time.Millisecond
 	// spuriousRetryAfter is the Retry-After time if a target refused the request although it had free slots. Waiting would not
--- a/io/gateway/request.go
+++ b/io/gateway/request.go
@@ -1,27 +1,19 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
-	"os"
 	"strings"
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"damasklatch/core/id"
 	"damasklatch/core/placement"
 	"damasklatch/core/routing"
 	"damasklatch/io/inbound"
 )
 
-// maxBufferedBody is the largest request body, in bytes, that is buffered. A buffered body can be sent again to another
-// target.
-const maxBufferedBody = 512 << 10
-
 // request is the state of a caller's request while it is served.
 type request struct {
 	sv      *Server
@@ -34,6 +26,7 @@
 	route     *routing.Route
 	team      *routing.Team
 	placement placement.Request
+	buffer    bodyBuffer
 	body      []byte    // nil if there is no body; its beginning if stream is set
 	stream    io.Reader // the whole body, if it is too large to be buffered
 	bodyRead  bool      // the whole body is in body
@@ -67,6 +60,7 @@
 	ctx, cancel := context.WithDeadline(r.Context(), rq.started.Add(limit))
 	defer cancel()
 	rq.ctx = ctx
+	defer rq.buffer.release()
 	rf := rq.readBody(limit)
 	if rf == nil {
 		rf = rq.forward()
@@ -212,45 +206,6 @@
 // maxUrgentPriority is the least urgent priority whose requests may wait for the whole latency objective.
 const maxUrgentPriority = routing.Priority(1)
 
-// readBody reads the body up to maxBufferedBody bytes. A larger body is left in stream.
-func (rq *request) readBody(limit time.Duration) *refusal {
-	if rq.r.ContentLength == 0 {
-		return nil
-	}
-	// Setting the deadline fails only for the response writers of tests.
-	_ = http.NewResponseController(rq.rw).SetReadDeadline(rq.started.Add(limit))
-	src := io.Reader(rq.r.Body)
-	if most := rq.table.Config.Limits.MaxBodyBytes; most > 0 {
-		src = http.MaxBytesReader(rq.rw, rq.r.Body, most)
-	}
-	buf := bytes.Buffer{}
-	if size := rq.r.ContentLength; size > 0 && size <= maxBufferedBody {
-		buf.Grow(int(size) + bytes.MinRead)
-	}
-	num, err := buf.ReadFrom(io.LimitReader(src, maxBufferedBody))
-	var large *http.MaxBytesError
-	switch {
-	case errors.As(err, &large):
-		return &refusal{reason: reasonBodyLarge}
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		rq.rw.Header()["Connection"] = []string{"close"}
-		return &refusal{reason: reasonBodyLate}
-	case err != nil:
-		rq.rw.Header()["Connection"] = []string{"close"}
-		return &refusal{reason: reasonBadRequest}
-	}
-	if rf := rq.checkFraming(); rf != nil {
-		return rf
-	}
-	rq.body = buf.Bytes()
-	rq.placement.Size = num
-	rq.bodyRead = num < maxBufferedBody || rq.r.ContentLength == maxBufferedBody
-	if !rq.bodyRead {
-		rq.stream = io.MultiReader(bytes.NewReader(rq.body), src)
-	}
-	return nil
-}
-
 // requestTarget returns the path and query as the caller sent them.
 func requestTarget(r *http.Request) string {
 	if strings.HasPrefix(r.RequestURI, "/") {
--- a/io/gateway/server.go
+++ b/io/gateway/server.go
@@ -9,6 +9,7 @@
 
 	"damasklatch/core/id"
 	"damasklatch/core/lease"
+	"damasklatch/core/memory"
 	"damasklatch/core/placement"
 	"damasklatch/core/routing"
 	"damasklatch/io/inbound"
@@ -26,6 +27,8 @@
 	Metrics    *Metrics
 	Log        *slog.Logger
 	RequestLog *slog.Logger // gets one line at the end of each request
+	// MemoryLimit is the memory limit of the process in bytes; zero means none.
+	MemoryLimit int64
 }
 
 // Server is the HTTP handler for the requests of callers. It is safe for concurrent use.
@@ -35,6 +38,7 @@
 	leaving atomic.Bool
 	running runningRequests
 	splits  trafficSplitter
+	bodies  *memory.Budget
 
 	mu    sync.Mutex
 	links map[id.Target]*link
@@ -48,7 +52,7 @@
 
 // NewServer returns a server without a configuration. It refuses all requests until SetTable is called.
 func NewServer(op Options) *Server {
-	return &Server{op: op, links: map[id.Target]*link{}, splits: trafficSplitter{routes: map[id.Route]*routeSplit{}}}
+	return &Server{op: op, bodies: newBodyMemory(op.MemoryLimit), links: map[id.Target]*link{}, splits: trafficSplitter{routes: map[id.Route]*routeSplit{}}}
 }
 
 // SetTable replaces the configuration. It doesn't affect requests that are already admitted.
--- a/io/gateway/targets.go
+++ b/io/gateway/targets.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"damasklatch/core/memory"
 	"damasklatch/core/placement"
 )
 
@@ -38,17 +39,18 @@
 	_ = json.NewEncoder(rw).Encode(list) // fails only if the caller has disconnected
 }
 
-// targetGauges exports the number of targets in each state.
-type targetGauges struct {
+// stateGauges exports the number of targets in each state, and the memory for bodies.
+type stateGauges struct {
 	placer  *placement.Placer
+	bodies  *memory.Budget
 	metrics *Metrics
 }
 
-// gaugeInterval is the interval at which targetGauges updates the metric.
+// gaugeInterval is the interval at which stateGauges updates the metrics.
 const gaugeInterval = time.Second
 
-// run updates the metric until the context is canceled.
-func (tg *targetGauges) run(ctx context.Context) {
+// run updates the metrics until the context is canceled.
+func (sg *stateGauges) run(ctx context.Context) {
 	tk := time.NewTicker(gaugeInterval)
 	defer tk.Stop()
 	for {
@@ -56,7 +58,8 @@
 		case <-ctx.Done():
 			return
 		case now := <-tk.C:
-			tg.metrics.setTargets(tg.placer.Status(now))
+			sg.metrics.setTargets(sg.placer.Status(now))
+			sg.metrics.setBodyMemory(sg.bodies.Usage())
 		}
 	}
 }
--- a/io/inbound/conn.go
+++ b/io/inbound/conn.go
@@ -145,6 +145,9 @@
 	defer cn.mu.Unlock()
 	for len(buf) > 0 {
 		num, err := cn.readOnce(buf)
+		if errors.Is(cn.fr.refused, errManyFields) {
+			return 0, cn.fail(errManyFields)
+		}
 		if err != nil && !errors.Is(err, errInterrupted) {
 			return num, cn.fail(err)
 		}
@@ -339,10 +342,17 @@
 	return cn.Conn.SetReadDeadline(at)
 }
 
+// sendTimeout is the time within which a caller must take what is written to it at once. Until then, a caller that does not read
+// holds memory of this VM and a slot of a target.
+const sendTimeout = 10 * time.Second
+
 // Write implements net.Conn.
 func (cn *conn) Write(buf []byte) (int, error) {
 	cn.wrote.Store(true)
 	cn.responding.Store(true)
+	if err := cn.SetWriteDeadline(time.Now().Add(sendTimeout)); err != nil {
+		return 0, err
+	}
 	return cn.Conn.Write(buf)
 }
 
--- a/io/inbound/framer.go
+++ b/io/inbound/framer.go
@@ -22,6 +22,7 @@
 	refused error
 
 	started    bool                 // the request line has been seen
+	fields     int                  // number of lines of the header
 	line       [maxPrefixBytes]byte // beginning of the current line
 	lineLength int                  // bytes of the current line, without its end
 	sawCR      bool                 // the last byte of the line was a carriage return
@@ -44,7 +45,14 @@
 // maxPrefixBytes is the number of bytes of a line that are kept. It suffices for the fields that determine the framing.
 const maxPrefixBytes = 128
 
-var errChunk = errors.New("malformed chunked encoding")
+// maxHeaderFields is the number of header fields above which the connection of a request is closed. Each field takes many times the
+// memory of its bytes.
+const maxHeaderFields = 500
+
+var (
+	errChunk      = errors.New("malformed chunked encoding")
+	errManyFields = errors.New("too many header fields")
+)
 
 // next returns how many of the bytes belong to the current request. After something ambiguous, all bytes do.
 func (fr *framer) next(src []byte) int {
@@ -153,6 +161,9 @@
 	case line[0] == ' ' || line[0] == '\t':
 		return errors.New("folded header field")
 	}
+	if fr.fields++; fr.fields > maxHeaderFields {
+		return errManyFields
+	}
 	name, val, ok := bytes.Cut(line, []byte(":"))
 	switch {
 	case !ok && length <= maxPrefixBytes:
