--- a/core/placement/feedback.go
+++ b/core/placement/feedback.go
@@ -81,17 +81,6 @@
 	sv.mean += time.Duration(serviceWeight * float64(rs.Latency-sv.mean))
 }
 
-// observe updates the average for known or for unknown objects, whichever is closer by ratio to the time that a request took. The time
-// is the only evidence of whether the target knew the object: a VM does not see which objects other VMs sent to the target,
-// and a new target knows no objects at first.
-func (sv *serviceTimes) observe(took time.Duration) {
-	mean := &sv.known
-	if float64(took) > math.Sqrt(float64(sv.known)*float64(sv.unknown)) {
-		mean = &sv.unknown
-	}
-	*mean += time.Duration(serviceWeight * float64(took-*mean))
-}
-
 // eject takes the target out of use for a time that doubles with each consecutive failure. After that time, the target gets one
 // request at a time until one succeeds.
 func (ts *targetState) eject(now time.Time) {
--- a/core/placement/load.go
+++ b/core/placement/load.go
@@ -79,6 +79,9 @@
 	return pm.mean + Pace(weight)*(pm.last-pm.mean)
 }
 
+// Percent returns the pace in percent of the usual time.
+func (pa Pace) Percent() int { return int(math.Round(100 * float64(pa))) }
+
 // of returns the time that work takes at the pace, if it usually takes the given time.
 func (pa Pace) of(usual time.Duration) time.Duration {
 	return time.Duration(float64(pa) * float64(usual))
--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"time"
 
 	"damasklatch/core/id"
@@ -291,3 +292,9 @@
 	}
 	return preferred
 }
+
+// unitOf maps a hash to a number in (0, 1).
+func unitOf(hash uint64) float64 { return (float64(hash>>11) + 0.5) / (1 << 53) }
+
+// logUnit returns the natural logarithm of a number in (0, 1).
+func logUnit(unit float64) float64 { return math.Log(unit) }
--- a/core/placement/state.go
+++ b/core/placement/state.go
@@ -37,6 +37,7 @@
 	Left          time.Duration // time until the end of the pause, the return or the ejection; zero in other states
 	InFlight      int           // requests of this VM
 	Slots         int
+	Pace          Pace // estimated pace of its machine
 }
 
 // Status returns the status of all registered targets, sorted by name.
@@ -45,7 +46,7 @@
 	defer pc.mu.Unlock()
 	list := make([]TargetStatus, 0, len(pc.targets))
 	for _, ts := range pc.targets {
-		st := TargetStatus{Target: ts.ID, Pool: ts.Pool, FailureDomain: ts.FailureDomain, InFlight: ts.ownInFlight, Slots: ts.Slots}
+		st := TargetStatus{Target: ts.ID, Pool: ts.Pool, FailureDomain: ts.FailureDomain, InFlight: ts.ownInFlight, Slots: ts.Slots, Pace: ts.pace.estimate(now)}
 		st.State, st.Left = ts.state(now)
 		list = append(list, st)
 	}
--- a/core/placement/target.go
+++ b/core/placement/target.go
@@ -44,6 +44,7 @@
 	InFlight     int           // estimated number of other requests at the target
 	KnowsObject  bool          // the target probably knows the object of the request
 	Cold         bool          // the target has started recently
+	Pace         Pace          // estimated pace of the target's machine
 	object       uint64        // hash of the route and the object
 }
 
--- a/internal/cli/status_gateway.go
+++ b/internal/cli/status_gateway.go
@@ -47,10 +47,10 @@
 				left = (time.Duration(tg.LeftMS) * time.Millisecond).String()
 			}
 			rows = append(rows, []string{
-				tg.Gateway, tg.Target, tg.Pool, tg.FailureDomain, tg.State, left, strconv.Itoa(tg.InFlight), strconv.Itoa(tg.Slots),
+				tg.Gateway, tg.Target, tg.Pool, tg.FailureDomain, tg.State, left, strconv.Itoa(tg.InFlight), strconv.Itoa(tg.Slots), strconv.Itoa(tg.PacePercent),
 			})
 		}
-		writeTable(ev.Stdout, []string{"GATEWAY", "TARGET", "POOL", "FAILURE DOMAIN", "STATE", "LEFT", "IN FLIGHT", "SLOTS"}, rows)
+		writeTable(ev.Stdout, []string{"GATEWAY", "TARGET", "POOL", "FAILURE DOMAIN", "STATE", "LEFT", "IN FLIGHT", "SLOTS", "PACE %"}, rows)
 	})
 	return nil
 }
--- a/io/gateway/log.go
+++ b/io/gateway/log.go
@@ -48,7 +48,7 @@
 		attrs = append(attrs, slog.Int("attempts", rq.attempts), slog.String("target", string(rq.last.ID)),
 			slog.String("target_failure_domain", string(rq.last.FailureDomain)),
 			slog.Int64("wait_expected_ms", rq.last.ExpectedWait.Milliseconds()), slog.Int("target_in_flight", rq.last.InFlight),
-			slog.Int("target_slots", rq.last.Slots), slog.Bool("target_knows_object", rq.last.KnowsObject))
+			slog.Int("target_slots", rq.last.Slots), slog.Bool("target_knows_object", rq.last.KnowsObject), slog.Int("target_pace_percent", rq.last.Pace.Percent()))
 	}
 	attrs = append(attrs, rq.responseAttrs()...)
 	if rq.region != "" {
--- a/io/gateway/targets.go
+++ b/io/gateway/targets.go
@@ -22,6 +22,8 @@
 	LeftMS        int64  `json:"left_ms,omitempty"` // time until the end of the state
 	InFlight      int    `json:"in_flight"`         // requests of this gateway
 	Slots         int    `json:"slots"`
+	// PacePercent is how long work takes on the target's machine at present, in percent of the usual time.
+	PacePercent int `json:"pace_percent"`
 }
 
 // targetsHandler responds with a TargetReport for each registered target.
@@ -32,7 +34,7 @@
 	for _, st := range th.placer.Status(time.Now()) {
 		list = append(list, TargetReport{
 			Target: string(st.Target), Pool: string(st.Pool), FailureDomain: string(st.FailureDomain), State: string(st.State),
-			LeftMS: st.Left.Milliseconds(), InFlight: st.InFlight, Slots: st.Slots,
+			LeftMS: st.Left.Milliseconds(), InFlight: st.InFlight, Slots: st.Slots, PacePercent: st.Pace.Percent(),
 		})
 	}
 	rw.Header().Set("Content-Type", "application/json")
