Placement: shares of teams at a pool that has too little room

Cause: requests were refused in the order of their arrival, so that a team which asks for many times its usual took the room of all others.

Change: core/fairness.Meter measures the work of each team at a pool, and divides what the pool can do by weighted max-min fairness; the weight of a team is its rate. While more than 2% of the work is refused, requests of a team beyond its share wait only three quarters as long at a target, so that the others find shorter queues. Each VM judges by its own requests: callers choose evenly among the VMs of a region. Reports between VMs don't carry teams yet (partial).

--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -15,6 +15,9 @@
 	// limit for urgent requests is higher, so that they are still accepted when other requests are refused under load.
 	urgentWaitFraction = 0.4
 	normalWaitFraction = 0.3
+	// exceedingWaitFraction is the part of that for requests of teams that have got more than their share of a pool with too little
+	// room, so that the others find shorter queues.
+	exceedingWaitFraction = 0.75
 	// inTimeFraction is the fraction of the latency objective within which a response must be expected for the request to overflow to
 	// a target that does not know its object.
 	inTimeFraction = 0.75
@@ -33,6 +36,9 @@
 	if !rq.Urgent {
 		fraction = normalWaitFraction
 	}
+	if rq.exceedsShare {
+		fraction *= exceedingWaitFraction
+	}
 	return wait <= 0 || wait < rq.Remaining && wait <= time.Duration(fraction*float64(rq.Objective))
 }
 
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"damasklatch/core/fairness"
 	"damasklatch/core/id"
 	"damasklatch/core/rendezvous"
 )
@@ -64,6 +65,7 @@
 	demand       demandMeter
 	waiting      int // requests that wait in this VM for the end of a pause
 	mix          mix
+	shares       fairness.Meter[id.Team]
 }
 
 // New returns a Placer without targets.
@@ -198,10 +200,14 @@
 	pc.mu.Lock()
 	defer pc.mu.Unlock()
 	pl := pc.pool(rq.Pool)
+	rq.exceedsShare = pl.shares.Exceeds(now, rq.Team)
 	ch, rf := pc.pick(now, pl, rq)
 	if len(rq.Tried) > 0 {
 		return ch, rf
 	}
+	if rf == nil || rf.Reason == Full {
+		pl.shares.Record(now, rq.Team, rq.Weight, pl.serviceTimesFor(rq).mean, rf == nil)
+	}
 	switch {
 	case rf == nil:
 		pl.mix.placed.add(now, ch.Region, 1)
@@ -258,7 +264,7 @@
 		InFlight: int(ts.inFlight(now)), KnowsObject: cd.known, Cold: now.Before(ts.coldUntil), Pace: ts.pace.estimate(now), object: object,
 	}
 	if !cd.acceptable {
-		return Choice{}, &Refusal{Reason: Full, RetryAfter: min(max(wait/2, minRetryAfter), maxRetryAfter), Region: region, Best: ch}
+		return Choice{}, &Refusal{Reason: Full, RetryAfter: min(max(wait/2, minRetryAfter), maxRetryAfter), Region: region, Best: ch, ExceedsShare: rq.exceedsShare}
 	}
 	if ch.Cold {
 		ts.coldPacer.take(now, pc.coldRatePerVM(ts))
--- a/core/placement/spread_test.go
+++ b/core/placement/spread_test.go
@@ -137,3 +137,75 @@
 		So(local(2<<10), ShouldBeBetween, 20, 80)
 	})
 }
+
+// playTeams sends requests of a team that asks for many times what four targets can do, and a few of another one, which is called small. It
+// returns the part of the requests of these two that was served.
+func playTeams(small id.Team) (smallServed, largeServed float64) {
+	const (
+		service = 160 * time.Millisecond
+		tick    = 5 * time.Millisecond
+		ticks   = 3000
+		// measured is the tick from which requests count: before, the shares of the teams are not known yet.
+		measured = 600
+	)
+	type running struct {
+		choice placement.Choice
+		until  time.Time
+	}
+	pc := newPlacer("a")
+	pc.SetTargets(start, targets(4, "north"))
+	busy := map[id.Target]time.Time{} // when the target has done all that it got
+	var queue []running
+	var asked, served [2]float64
+	for nr := range ticks {
+		now := start.Add(time.Duration(nr) * tick)
+		for len(queue) > 0 && !queue[0].until.After(now) {
+			pc.Done(now, &queue[0].choice, "read", placement.Result{Kind: placement.Succeeded, Latency: service})
+			queue = queue[1:]
+		}
+		for at := range 5 { // 1,000 requests a second; the targets can do 100
+			rq := request(fmt.Sprint(nr*5 + at))
+			rq.Team, rq.Weight = "large", 1
+			who := 0
+			if nr%20 == 0 && at == nr/20%5 {
+				rq.Team, who = small, 1
+			}
+			ch, rf := pc.Pick(now, rq)
+			if nr >= measured {
+				asked[who]++
+			}
+			if rf != nil {
+				continue
+			}
+			if nr >= measured {
+				served[who]++
+			}
+			from := now
+			if busy[ch.ID].After(now) {
+				from = busy[ch.ID]
+			}
+			busy[ch.ID] = from.Add(service / 4)
+			queue = append(queue, running{ch, busy[ch.ID].Add(service * 3 / 4)})
+		}
+	}
+	return served[1] / asked[1], served[0] / asked[0]
+}
+
+// Guards against a team that is refused as often as another one that asks for many times as much. The same requests under the name of
+// the large team are the baseline.
+func TestTeamsShareFullPool(t *testing.T) {
+	Convey("the team that asks for less than its share", t, func() {
+		alone, _ := playTeams("large")
+		small, large := playTeams("small")
+		So(1-small, ShouldBeLessThan, (1-alone)/4)
+		So(large, ShouldBeBetween, 0.05, 0.15)
+	})
+}
+
+// Guards against a team that loses part of what it is entitled to: docs/design.md, section 1.5.
+func TestSmallTeamKeepsItsEntitlement(t *testing.T) {
+	Convey("the team that asks for less than its share", t, func() {
+		small, _ := playTeams("small")
+		So(small, ShouldBeGreaterThanOrEqualTo, 0.98)
+	})
+}
--- a/core/placement/target.go
+++ b/core/placement/target.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"damasklatch/core/fairness"
 	"damasklatch/core/id"
 	"damasklatch/core/rendezvous"
 )
@@ -26,11 +27,16 @@
 	Route     id.Route
 	Object    string               // the object that the request works on; empty if there is none
 	Urgent    bool                 // the request has the highest priority in the pool
+	Team      id.Team              // empty for anonymous requests, which share one part of a pool that has too little room
+	Weight    fairness.Weight      // of the team
 	Size      int64                // of the body in bytes
 	Objective time.Duration        // latency objective of the route
 	Remaining time.Duration        // time until the deadline
 	Allowed   func(id.Region) bool // reports whether a region may be used; nil allows all regions
 	Tried     []id.Target          // targets of earlier attempts, which are not chosen again
+
+	// exceedsShare is set by Pick if the pool has too little room and the team has got more than its share.
+	exceedsShare bool
 }
 
 // objectHash returns the hash of the route and the object.
@@ -68,6 +74,8 @@
 	Paused bool
 	// Best is the target with the lowest cost. It is set if the reason is Full.
 	Best Choice
+	// ExceedsShare is set if the team had got more than its share of the pool.
+	ExceedsShare bool
 }
 
 // ResultKind classifies the outcome of an attempt at a target.
--- a/io/gateway/forward.go
+++ b/io/gateway/forward.go
@@ -36,7 +36,7 @@
 			if last != nil {
 				return rq.finish(last)
 			}
-			rq.last, rq.region = rf.Best, rf.Region
+			rq.last, rq.region, rq.exceedsShare = rf.Best, rf.Region, rf.ExceedsShare
 			return &refusal{reason: Reason(rf.Reason), retryAfter: rf.RetryAfter}
 		}
 		if last != nil {
--- a/io/gateway/log.go
+++ b/io/gateway/log.go
@@ -54,6 +54,9 @@
 	if rq.region != "" {
 		attrs = append(attrs, slog.String("region", string(rq.region)))
 	}
+	if rq.exceedsShare {
+		attrs = append(attrs, slog.Bool("exceeds_share", true))
+	}
 	if leaving {
 		attrs = append(attrs, slog.Bool("leaving", true))
 	}
--- a/io/gateway/request.go
+++ b/io/gateway/request.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"damasklatch/core/fairness"
 	"damasklatch/core/id"
 	"damasklatch/core/placement"
 	"damasklatch/core/routing"
@@ -41,6 +42,7 @@
 	passedOn     atomic.Bool
 	last         placement.Choice // choice of the last attempt, or the best target of a refused placement
 	region       id.Region        // region of the refused placement
+	exceedsShare bool             // the team of the refused placement had got more than its share
 	cause        error            // error of the last attempt, if it got no response
 	writeErr     error            // why the response could not be written to the caller
 	targetStatus int              // status of the last attempt's response; zero if there was none
@@ -198,6 +200,13 @@
 		rq.placement.Object = rq.caller.Object
 	}
 	rt, tm := rq.route, rq.team
+	rq.placement.Weight = 1
+	if tm != nil {
+		rq.placement.Team = tm.Name
+	}
+	if tm != nil && tm.Rate > 0 {
+		rq.placement.Weight = fairness.Weight(tm.Rate)
+	}
 	if len(rt.Regions) > 0 || tm != nil && len(tm.Regions) > 0 {
 		rq.placement.Allowed = regionFilter{rt, tm}.allowed
 	}
