--- a/core/placement/doc.go
+++ b/core/placement/doc.go
@@ -16,8 +16,12 @@
 // on a known object takes much less time. Rendezvous hashing therefore sends the requests for an object from all VMs to the
 // same few targets.
 //
-// Targets where the request would wait too long are chosen last. If there is no other, the request is refused, and the refusal
-// says when the caller should retry.
+// Targets where the request would wait too long are chosen last. If there is no other, the second target of the object may take the
+// request, or any target with a free slot that would still respond in time, as long as the region is not too busy. Otherwise the request
+// is refused, and the refusal says when the caller should retry. While a pool refuses requests, those of teams that have got more than
+// their share of it wait less long.
+//
+// Requests whose responses are usually large go to targets of the VM's own failure domain first.
 //
 // No function reads the clock; callers pass the current time.
 package placement
--- a/io/inbound/doc.go
+++ b/io/inbound/doc.go
@@ -1,7 +1,8 @@
 // Package inbound owns the connections of callers below net/http.
 //
 // It knows where each request on a connection begins and ends, and hands over the bytes of one request at a time. What follows
-// stays unread while the request runs, unless it arrived together with the request. There are three reasons:
+// stays unread while the request runs, unless it arrived together with the request, or a Pipeline may serve it already. There are three
+// reasons:
 //
 //   - net/http stops watching a connection as soon as a byte of a further request has arrived. A caller that pipelines requests and
 //     then closes its connection would go unnoticed. With this package, the context of the running request is canceled and none
