--- a/review/drive/case_crowd.go
+++ b/review/drive/case_crowd.go
@@ -12,9 +12,8 @@
 )
 
 const (
-	// smallMemoryMB and smallFiles are the memory and the descriptors of the smallest machine of the site ndcf-head-grown.
+	// smallMemoryMB is the memory of the smallest machine of the site ndcf-head-grown.
 	smallMemoryMB = 136
-	smallFiles    = 2870
 	watchTime     = 10 * time.Second
 	// headerBytes is the size of a header that is within MaxHeaderBytes.
 	headerBytes = 16_000
@@ -26,7 +25,7 @@
 func (en *environment) startSmallGateway(name string) (*gatewayProcess, error) {
 	gw := en.newGateway(name)
 	gw.settings["memory_limit"] = fmt.Sprint(smallMemoryMB, "MB")
-	if err := gw.start(smallFiles); err != nil {
+	if err := gw.start(); err != nil {
 		return nil, err
 	}
 	return gw, nil
--- a/review/drive/case_quota.go
+++ b/review/drive/case_quota.go
@@ -113,7 +113,7 @@
 	}
 	errs := make(chan error, len(all))
 	for _, gw := range all {
-		go func() { errs <- gw.start(0) }()
+		go func() { errs <- gw.start() }()
 	}
 	for range all {
 		if err := <-errs; err != nil {
--- a/review/drive/client.go
+++ b/review/drive/client.go
@@ -67,11 +67,10 @@
 	return reply{status: resp.StatusCode, body: body, after: time.Since(sent)}
 }
 
-// lookup sends an ordinary safe request and notes the answer. It reports whether it was served.
-func (gw *gatewayProcess) lookup() bool {
+// lookup sends an ordinary safe request and notes the answer.
+func (gw *gatewayProcess) lookup() {
 	id := newID()
 	const deadline = 2500 * time.Millisecond
 	re := gw.call(requestHead(http.MethodGet, "/read/x", id, deadline)+"\r\n", deadline)
 	gw.en.note("ordinary client %s: %v", id, re)
-	return re.status == http.StatusOK
 }
--- a/review/drive/environment.go
+++ b/review/drive/environment.go
@@ -171,11 +171,11 @@
 // startGateway starts a gateway with the settings of newGateway.
 func (en *environment) startGateway(name string) (*gatewayProcess, error) {
 	gw := en.newGateway(name)
-	return gw, gw.start(0)
+	return gw, gw.start()
 }
 
-// start starts the process. If files is positive, it is the limit of open files of the process.
-func (gw *gatewayProcess) start(files int) error {
+// start starts the process and waits until it is ready.
+func (gw *gatewayProcess) start() error {
 	var text strings.Builder
 	for name, val := range gw.settings {
 		fmt.Fprintf(&text, "%s: %s\n", name, val)
@@ -189,11 +189,8 @@
 	if err != nil {
 		return err
 	}
-	defer log.Close()
+	defer func() { _ = log.Close() }()
 	gw.cmd = exec.Command("target/damasklatch", "gateway", "--settings", path)
-	if files > 0 {
-		gw.cmd = exec.Command("sh", "-c", "ulimit -n "+strconv.Itoa(files)+` && exec target/damasklatch gateway --settings "$0"`, path)
-	}
 	gw.cmd.Stdout, gw.cmd.Stderr = log, log
 	if err := gw.cmd.Start(); err != nil {
 		return err
--- a/review/drive/links.go
+++ b/review/drive/links.go
@@ -172,7 +172,10 @@
 	if err != nil {
 		return "", err
 	}
-	nw.en.onClose(func() { near.Close(); far.Close() })
+	nw.en.onClose(func() {
+		_ = near.Close()
+		_ = far.Close()
+	})
 	go nw.copyDatagrams(from, to, func(buf []byte) (int, error) {
 		num, _, err := near.ReadFrom(buf)
 		return num, err
