--- a/review/drive/case_quota.go
+++ b/review/drive/case_quota.go
@@ -115,11 +115,14 @@
 	for _, gw := range all {
 		go func() { errs <- gw.start() }()
 	}
-	for range all {
-		if err := <-errs; err != nil {
-			return nil, nil, nil, err
+	for range all { // waits for all, so that each process that was started is known at the end
+		if failed := <-errs; failed != nil {
+			err = failed
 		}
 	}
+	if err != nil {
+		return nil, nil, nil, err
+	}
 	weight := func(nd *node) uint64 { return rendezvous.Weight(rendezvous.Hash(tenant), id.VM(nd.gw.name)) }
 	for nr := 0; nr < len(nw.nodes); nr += perZone {
 		order := slices.Clone(nw.nodes[nr : nr+perZone])
